--- /dev/null
+++ b/include/mustardtray/process/EnumNames.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/// Tables that give each value of an enum class its name on the wire, in logs and in settings.
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace mustardtray {
+
+/// Specialise with `static constexpr std::array kTable` of (value, name) pairs.
+template<typename E>
+struct EnumNames;
+
+/// Name of a value; "?" for a value outside the table.
+template<typename E>
+constexpr std::string_view ToName(E aValue)
+{
+  for (const auto& [value, name] : EnumNames<E>::kTable) {
+    if (value == aValue) {
+      return name;
+    }
+  }
+  return "?";
+}
+
+/// Value with that name, if the table has one.
+template<typename E>
+constexpr std::optional<E> FromName(std::string_view aName)
+{
+  for (const auto& [value, name] : EnumNames<E>::kTable) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+/// All names, separated by "|": for messages that say what is allowed.
+template<typename E>
+std::string AllNames()
+{
+  std::string names;
+  for (const auto& [value, name] : EnumNames<E>::kTable) {
+    names += names.empty() ? "" : "|";
+    names += name;
+  }
+  return names;
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/src/Main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
