Connection: HTTP server on RESTinio and HTTP client on libcurl multi

Cause: every part needs HTTP, and RESTinio closes a connection without an answer when a request is malformed, too large or slow. A socket type of our own sends 400, 408, 413, 414 or 431 before the close and lingers, so that the answer is not lost to a reset. Ruled out: raising RESTinio's limits and judging in the handler, which would hold the whole body in memory first.

--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -49,7 +49,8 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(asio::io_context& aContext);
+  /// aLocalAddress, when given, is the IP number that connections come from.
+  explicit HttpClient(asio::io_context& aContext, std::string aLocalAddress = {});
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- /dev/null
+++ b/src/connection/HttpServer.cpp
@@ -0,0 +1,342 @@
+#include "mustardtray/connection/HttpServer.h"
+
+#include <atomic>
+#include <variant>
+
+#include <asio.hpp>
+#include <restinio/all.hpp>
+#include <restinio/tls.hpp>
+
+#include <boost/outcome/try.hpp>
+
+#include "connection/GuardedSocket.h"
+
+namespace mustardtray {
+
+namespace {
+
+constexpr std::size_t kConcurrentAccepts = 8;
+constexpr std::size_t kReadBufferBytes = 8192;
+
+/// Maps what RESTinio's parser says about a request to the status that it is answered with.
+int StatusForParserError(std::string_view aMessage)
+{
+  const auto has = [&](std::string_view aPart) {
+    return aMessage.find(aPart) != std::string_view::npos;
+  };
+  if (!has("parser error")) {
+    return 0;
+  }
+  if (has("HPE_CB_body") || has("HPE_CB_headers_complete")) {
+    return 413;
+  }
+  if (has("HPE_CB_url")) {
+    return 414;
+  }
+  return has("HPE_CB_header") || has("HPE_HEADER_OVERFLOW") ? 431 : 400;
+}
+
+/// RESTinio's logger: only keeps the parser's verdict for GuardedSocket.
+struct ParserFaultLogger
+{
+  template<typename Builder>
+  void trace(Builder&&)
+  {
+  }
+  template<typename Builder>
+  void info(Builder&&)
+  {
+  }
+  template<typename Builder>
+  void warn(Builder&&)
+  {
+  }
+  template<typename Builder>
+  void error(Builder&& aBuilder)
+  {
+    gRejectedStatus = StatusForParserError(aBuilder());
+  }
+};
+
+struct PlainTraits
+  : restinio::traits_t<restinio::asio_timer_manager_t,
+                       ParserFaultLogger,
+                       restinio::details::autodetect_request_handler_type,
+                       restinio::noop_strand_t,
+                       GuardedSocket>
+{
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+struct TlsTraits
+  : restinio::single_thread_tls_traits_t<restinio::asio_timer_manager_t, ParserFaultLogger>
+{
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+/// State that answers in flight share with the server, which may end before them.
+struct ServerState
+{
+  std::atomic<bool> m_closing{ false };
+};
+
+class RequestSink : public HttpResponder::Sink
+{
+public:
+  RequestSink(restinio::request_handle_t aRequest, std::shared_ptr<ServerState> aState)
+    : m_request(std::move(aRequest))
+    , m_state(std::move(aState))
+  {
+  }
+
+  ~RequestSink() override
+  {
+    if (!m_sent) {
+      Send(JsonResponse(500, R"({"error":"no answer"})"));
+    }
+  }
+
+  void Send(HttpResponse aResponse) override
+  {
+    if (m_sent.exchange(true)) {
+      return;
+    }
+    auto response = m_request->create_response(restinio::http_status_line_t{
+      restinio::http_status_code_t(static_cast<std::uint16_t>(aResponse.m_status)),
+      Reason(aResponse.m_status) });
+    for (const HttpHeader& header : aResponse.m_headers) {
+      response.append_header(header.m_name, header.m_value);
+    }
+    const bool keepAlive = m_request->header().should_keep_alive() && !m_state->m_closing;
+    if (keepAlive) {
+      response.connection_keep_alive();
+    } else {
+      response.connection_close();
+    }
+    response.set_body(std::move(aResponse.m_body));
+    response.done();
+  }
+
+private:
+  static std::string Reason(int aStatus)
+  {
+    switch (aStatus) {
+      case 200:
+        return "OK";
+      case 202:
+        return "Accepted";
+      case 404:
+        return "Not Found";
+      case 409:
+        return "Conflict";
+      case 422:
+        return "Unprocessable Content";
+      case 502:
+        return "Bad Gateway";
+      case 503:
+        return "Service Unavailable";
+      case 504:
+        return "Gateway Timeout";
+      default:
+        return aStatus < 400 ? "Done" : "Error";
+    }
+  }
+
+  restinio::request_handle_t m_request;
+  std::shared_ptr<ServerState> m_state;
+  std::atomic<bool> m_sent{ false };
+};
+
+HttpRequest Convert(restinio::request_t& aRequest)
+{
+  HttpRequest request;
+  request.m_method = aRequest.header().method().c_str();
+  request.m_path = std::string(aRequest.header().path());
+  request.m_query = std::string(aRequest.header().query());
+  aRequest.header().for_each_field([&](const restinio::http_header_field_t& aField) {
+    request.m_headers.push_back({ aField.name(), aField.value() });
+  });
+  request.m_body = std::move(aRequest.body());
+  request.m_peer = fmt::format(
+    "{}:{}", aRequest.remote_endpoint().address().to_string(), aRequest.remote_endpoint().port());
+  return request;
+}
+
+Error StartError(ErrorKind aKind, const HttpServerOptions& aOptions, const std::string& aMessage)
+{
+  return { aKind,
+           "start HTTP listener",
+           fmt::format("{}:{}", aOptions.m_address, aOptions.m_port),
+           aMessage };
+}
+
+} // namespace
+
+class HttpServer::Implementation
+{
+public:
+  Implementation(asio::io_context& aContext, HttpServerOptions aOptions, HttpHandler aHandler)
+    : m_context(aContext)
+    , m_options(std::move(aOptions))
+    , m_handler(std::move(aHandler))
+    , m_state(std::make_shared<ServerState>())
+  {
+  }
+
+  Result<void> Start()
+  {
+    if (!m_options.m_tls.m_certificateFile.empty()) {
+      m_tlsContext = std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+      m_tlsContext->set_options(asio::ssl::context::default_workarounds |
+                                asio::ssl::context::no_tlsv1 | asio::ssl::context::no_tlsv1_1);
+      BOOST_OUTCOME_TRYV(LoadTls());
+    }
+    try {
+      if (m_tlsContext) {
+        OpenTls();
+      } else {
+        Open<PlainTraits>([](auto&) {});
+      }
+    } catch (const std::exception& fault) {
+      return StartError(ErrorKind::Unavailable, m_options, fault.what());
+    }
+    return boost::outcome_v2::success();
+  }
+
+  Result<void> LoadTls()
+  {
+    asio::error_code error;
+    m_tlsContext->use_certificate_chain_file(m_options.m_tls.m_certificateFile, error);
+    if (!error) {
+      m_tlsContext->use_private_key_file(m_options.m_tls.m_keyFile, asio::ssl::context::pem, error);
+    }
+    if (error) {
+      return StartError(ErrorKind::Invalid, m_options, "TLS files: " + error.message());
+    }
+    return boost::outcome_v2::success();
+  }
+
+  Result<void> ReloadTls()
+  {
+    if (!m_tlsContext) {
+      return boost::outcome_v2::success();
+    }
+    return LoadTls();
+  }
+
+  std::uint16_t Port() const { return m_port; }
+
+  void StopAccepting()
+  {
+    m_state->m_closing = true;
+    std::visit(
+      [](auto& aServer) {
+        if constexpr (!std::is_same_v<std::decay_t<decltype(aServer)>, std::monostate>) {
+          if (aServer) {
+            aServer->close_sync();
+          }
+        }
+      },
+      m_server);
+  }
+
+  void Stop()
+  {
+    StopAccepting();
+    m_server = std::monostate{};
+  }
+
+private:
+  void OpenTls()
+  {
+    Open<TlsTraits>([this](auto& aSettings) { aSettings.tls_context(m_tlsContext); });
+  }
+
+  template<typename Traits, typename Customize>
+  void Open(Customize aCustomize)
+  {
+    restinio::server_settings_t<Traits> settings;
+    settings.address(m_options.m_address)
+      .port(m_options.m_port)
+      .buffer_size(kReadBufferBytes)
+      .concurrent_accepts_count(kConcurrentAccepts)
+      .max_parallel_connections(m_options.m_maxConnections)
+      .read_next_http_message_timelimit(m_options.m_readTimeout)
+      .handle_request_timeout(m_options.m_handleTimeout)
+      .write_http_response_timelimit(m_options.m_readTimeout)
+      .incoming_http_msg_limits(Limits())
+      .socket_options_setter(
+        [](auto& aOptions) { aOptions.set_option(asio::ip::tcp::no_delay{ true }); })
+      .acceptor_options_setter(
+        [](auto& aOptions) { aOptions.set_option(asio::ip::tcp::acceptor::reuse_address{ true }); })
+      .acceptor_post_bind_hook(
+        [this](asio::ip::tcp::acceptor& aAcceptor) { m_port = aAcceptor.local_endpoint().port(); })
+      .request_handler([this](restinio::request_handle_t aRequest) {
+        HttpRequest request = Convert(*aRequest);
+        m_handler(std::move(request),
+                  HttpResponder(std::make_shared<RequestSink>(std::move(aRequest), m_state)));
+        return restinio::request_accepted();
+      });
+    aCustomize(settings);
+    auto server = std::make_unique<restinio::http_server_t<Traits>>(
+      restinio::external_io_context(m_context), std::move(settings));
+    server->open_sync();
+    m_server = std::move(server);
+  }
+
+  restinio::incoming_http_msg_limits_t Limits() const
+  {
+    return restinio::incoming_http_msg_limits_t{}
+      .max_url_size(m_options.m_maxHeaderBytes)
+      .max_field_name_size(m_options.m_maxHeaderBytes)
+      .max_field_value_size(m_options.m_maxHeaderBytes)
+      .max_field_count(m_options.m_maxHeaderCount)
+      .max_body_size(m_options.m_maxBodyBytes);
+  }
+
+  asio::io_context& m_context;
+  HttpServerOptions m_options;
+  HttpHandler m_handler;
+  std::shared_ptr<ServerState> m_state;
+  std::shared_ptr<asio::ssl::context> m_tlsContext;
+  std::uint16_t m_port = 0;
+  std::variant<std::monostate,
+               std::unique_ptr<restinio::http_server_t<PlainTraits>>,
+               std::unique_ptr<restinio::http_server_t<TlsTraits>>>
+    m_server;
+};
+
+HttpServer::HttpServer(asio::io_context& aContext, HttpServerOptions aOptions, HttpHandler aHandler)
+  : m_implementation(
+      std::make_unique<Implementation>(aContext, std::move(aOptions), std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::Start()
+{
+  return m_implementation->Start();
+}
+
+std::uint16_t HttpServer::Port() const
+{
+  return m_implementation->Port();
+}
+
+Result<void> HttpServer::ReloadTls()
+{
+  return m_implementation->ReloadTls();
+}
+
+void HttpServer::StopAccepting()
+{
+  m_implementation->StopAccepting();
+}
+
+void HttpServer::Stop()
+{
+  m_implementation->Stop();
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/tests/connection/HttpClientTest.cpp
@@ -0,0 +1,68 @@
+#include "mustardtray/connection/HttpClient.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/support/RawSocket.h"
+
+using namespace mustardtray;
+using namespace mustardtray::test;
+
+namespace {
+
+HttpCall CallTo(std::uint16_t aPort)
+{
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = "http://127.0.0.1:" + std::to_string(aPort) + "/x";
+  call.m_body = "work";
+  call.m_timeout = Millis(1000);
+  return call;
+}
+
+} // namespace
+
+TEST_CASE("A short answer is an error of unknown outcome, not an answer")
+{
+  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this", 1);
+  const HttpCallResult result = CallAndWait(CallTo(server.Port()));
+  REQUIRE(result.has_error());
+  CHECK(result.error().m_error.m_kind == ErrorKind::Unknown);
+  CHECK_FALSE(result.error().m_notSent);
+}
+
+TEST_CASE("A short chunked answer is an error too")
+{
+  RawServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", 1);
+  CHECK(CallAndWait(CallTo(server.Port())).has_error());
+}
+
+TEST_CASE("An answer that does not say its length cannot be known to be whole")
+{
+  RawServer server("HTTP/1.1 200 OK\r\n\r\nperhaps all", 1);
+  CHECK(CallAndWait(CallTo(server.Port())).has_error());
+}
+
+TEST_CASE("A peer that nobody listens at is known not to have seen the request")
+{
+  std::uint16_t port = 0;
+  {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, Loopback(0));
+    port = acceptor.local_endpoint().port();
+  }
+  const HttpCallResult result = CallAndWait(CallTo(port));
+  REQUIRE(result.has_error());
+  CHECK(result.error().m_notSent);
+  CHECK(result.error().m_error.m_kind == ErrorKind::Unavailable);
+}
+
+TEST_CASE("A request on a fresh connection is sent once when the peer closes after reading")
+{
+  RawServer server("", 1);
+  HttpCall call = CallTo(server.Port());
+  call.m_freshConnection = true;
+  const HttpCallResult result = CallAndWait(call);
+  REQUIRE(result.has_error());
+  CHECK_FALSE(result.error().m_notSent);
+  CHECK(server.Requests() == 1);
+}
--- /dev/null
+++ b/tests/support/RawSocket.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// Blocking TCP for tests that send and answer bytes no HTTP library would.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+namespace mustardtray::test {
+
+inline asio::ip::tcp::endpoint Loopback(std::uint16_t aPort)
+{
+  return { asio::ip::address_v4::loopback(), aPort };
+}
+
+/// Sends bytes and returns all that comes back until the peer closes.
+inline std::string SendRaw(std::uint16_t aPort, std::string_view aBytes)
+{
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.connect(Loopback(aPort));
+  asio::error_code error;
+  asio::write(socket, asio::buffer(aBytes), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+/// A peer that reads one request head per connection and answers with fixed bytes, then closes.
+class RawServer
+{
+public:
+  RawServer(std::string aAnswer, int aConnections)
+    : m_acceptor(m_context, Loopback(0))
+    , m_thread([this, answer = std::move(aAnswer), aConnections] { Serve(answer, aConnections); })
+  {
+  }
+
+  ~RawServer() { m_thread.join(); }
+
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  int Requests() const { return m_requests; }
+
+private:
+  void Serve(const std::string& aAnswer, int aConnections)
+  {
+    for (int i = 0; i < aConnections; ++i) {
+      asio::ip::tcp::socket socket(m_context);
+      m_acceptor.accept(socket);
+      asio::error_code error;
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+      m_requests += error ? 0 : 1;
+      asio::write(socket, asio::buffer(aAnswer), error);
+    }
+  }
+
+  asio::io_context m_context;
+  asio::ip::tcp::acceptor m_acceptor;
+  int m_requests = 0;
+  std::thread m_thread;
+};
+
+} // namespace mustardtray::test
