--- /dev/null
+++ b/standin/StandinJson.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// JSON over the stand-ins' own interfaces: documents parsed in full and answers made of JSON.
+
+#include <string>
+#include <string_view>
+
+#include "mustardtray/connection/HttpMessage.h"
+#include "mustardtray/process/Error.h"
+#include "mustardtray/process/JsonReader.h"
+#include "standin/StandinServer.h"
+
+namespace mustardtray {
+
+/// Parses an object and hands its reader to aRead. Errors: Invalid with every fault.
+template<typename T, typename Read>
+Result<T> ParseDocument(std::string_view aWhat, std::string_view aText, Read aRead)
+{
+  const std::string step = "parse " + std::string(aWhat);
+  const Json document = Json::parse(aText, nullptr, false);
+  if (document.is_discarded()) {
+    return Error{ ErrorKind::Invalid, step, "", "no JSON document" };
+  }
+  FieldErrors errors;
+  JsonReader reader(document, "", errors);
+  T value = aRead(reader);
+  reader.Finish();
+  if (errors.empty()) {
+    return value;
+  }
+  std::string text;
+  for (const FieldError& error : errors) {
+    text += text.empty() ? "" : "; ";
+    text += error.Text();
+  }
+  return Error{ ErrorKind::Invalid, step, "", std::move(text) };
+}
+
+inline void AnswerJson(StandinExchange& aExchange, int aStatus, const Json& aValue)
+{
+  aExchange.Answer(
+    JsonResponse(aStatus, aValue.dump(-1, ' ', false, Json::error_handler_t::replace)));
+}
+
+inline void AnswerError(StandinExchange& aExchange, int aStatus, const std::string& aMessage)
+{
+  AnswerJson(aExchange, aStatus, Json{ { "error", aMessage } });
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/standin/StandinServer.cpp
@@ -0,0 +1,402 @@
+#include "standin/StandinServer.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <deque>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <http_parser.h>
+
+namespace mustardtray {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+void AppendNumber(std::string& aText, std::size_t aNumber)
+{
+  std::array<char, 24> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), aNumber).ptr;
+  aText.append(digits.data(), end);
+}
+
+/// Status line and headers, up to and with the empty line.
+std::string HeadOf(const HttpResponse& aResponse, bool aKeepAlive)
+{
+  std::string head = "HTTP/1.1 ";
+  AppendNumber(head, static_cast<std::size_t>(aResponse.m_status));
+  head += ' ';
+  head += http_status_str(static_cast<http_status>(aResponse.m_status));
+  for (const HttpHeader& header : aResponse.m_headers) {
+    head += "\r\n";
+    head += header.m_name;
+    head += ": ";
+    head += header.m_value;
+  }
+  head += "\r\nContent-Length: ";
+  AppendNumber(head, aResponse.m_body.size());
+  head += aKeepAlive ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n";
+  return head;
+}
+
+void ResetSocket(tcp::socket& aSocket)
+{
+  asio::error_code ignored;
+  aSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+  aSocket.close(ignored);
+}
+
+} // namespace
+
+struct StandinServer::Shared
+{
+  Shared(asio::io_context& aContext, StandinHandler aHandler)
+    : m_acceptor(aContext)
+    , m_handler(std::move(aHandler))
+  {
+  }
+
+  tcp::acceptor m_acceptor;
+  std::string m_address;
+  std::uint16_t m_port = 0;
+  StandinHandler m_handler;
+  StandinTraffic m_traffic;
+  std::unordered_set<Connection*> m_open;
+};
+
+/// Reads all the time, so that a close by the peer is seen while a request runs; answers requests
+/// one by one in their order.
+class StandinServer::Connection final
+  : public StandinExchange
+  , public std::enable_shared_from_this<Connection>
+{
+public:
+  Connection(tcp::socket aSocket, std::shared_ptr<Shared> aShared)
+    : m_socket(std::move(aSocket))
+    , m_shared(std::move(aShared))
+  {
+    asio::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_peer = m_socket.remote_endpoint(ignored).address().to_string();
+    http_parser_init(&m_parser, HTTP_REQUEST);
+    m_parser.data = this;
+    m_shared->m_open.insert(this);
+    StandinTraffic& traffic = m_shared->m_traffic;
+    ++traffic.m_accepted;
+    ++traffic.m_connections;
+    traffic.m_peakConnections = std::max(traffic.m_peakConnections, traffic.m_connections);
+  }
+
+  ~Connection() override { Forget(); }
+
+  const HttpRequest& Request() const override { return m_current; }
+  const std::string& PeerAddress() const override { return m_peer; }
+
+  void Answer(const HttpResponse& aResponse) override
+  {
+    const bool keepAlive = m_keepAlive;
+    std::string bytes = HeadOf(aResponse, keepAlive);
+    bytes += aResponse.m_body;
+    Write(std::move(bytes), [keepAlive](Connection& aSelf) {
+      if (keepAlive) {
+        aSelf.HandleNext();
+      } else {
+        aSelf.Shut(false);
+      }
+    });
+  }
+
+  void AnswerHalf(const HttpResponse& aResponse, bool aReset) override
+  {
+    std::string bytes = HeadOf(aResponse, true);
+    bytes += aResponse.m_body.substr(0, aResponse.m_body.size() / 2);
+    Write(std::move(bytes), [aReset](Connection& aSelf) { aSelf.Shut(aReset); });
+  }
+
+  void Close() override
+  {
+    if (std::exchange(m_waitsForAnswer, false)) {
+      Shut(false);
+    }
+  }
+
+  void Shut(bool aReset)
+  {
+    m_waitsForAnswer = false;
+    Forget();
+    if (aReset) {
+      ResetSocket(m_socket);
+      return;
+    }
+    asio::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+  }
+
+  void Read()
+  {
+    m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = shared_from_this()](const asio::error_code& aError, std::size_t aBytes) {
+        if (!self->m_socket.is_open()) {
+          return;
+        }
+        if (aError) {
+          self->Shut(false);
+          return;
+        }
+        self->Parse(aBytes);
+      });
+  }
+
+private:
+  void Parse(std::size_t aBytes)
+  {
+    m_shared->m_traffic.m_bytesIn += aBytes;
+    http_parser_execute(&m_parser, &Callbacks(), m_buffer.data(), aBytes);
+    if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
+      Shut(false);
+      return;
+    }
+    if (!m_waitsForAnswer && !m_isWriting) {
+      HandleNext();
+    }
+    if (m_socket.is_open()) {
+      Read();
+    }
+  }
+
+  void HandleNext()
+  {
+    if (m_whole.empty() || !m_socket.is_open()) {
+      return;
+    }
+    auto& [request, keepAlive] = m_whole.front();
+    m_current = std::move(request);
+    m_keepAlive = keepAlive;
+    m_whole.pop_front();
+    m_waitsForAnswer = true;
+    m_shared->m_handler(shared_from_this());
+  }
+
+  template<typename Done>
+  void Write(std::string aBytes, Done aDone)
+  {
+    if (!std::exchange(m_waitsForAnswer, false) || !m_socket.is_open()) {
+      return;
+    }
+    m_isWriting = true;
+    m_output = std::move(aBytes);
+    asio::async_write(
+      m_socket,
+      asio::buffer(m_output),
+      [self = shared_from_this(), aDone](const asio::error_code& aError, std::size_t aSent) {
+        self->m_shared->m_traffic.m_bytesOut += aSent;
+        self->m_isWriting = false;
+        if (aError) {
+          self->Shut(false);
+        } else {
+          aDone(*self);
+        }
+      });
+  }
+
+  void Forget()
+  {
+    if (m_shared->m_open.erase(this) > 0) {
+      --m_shared->m_traffic.m_connections;
+    }
+  }
+
+  static Connection& From(http_parser* aParser) { return *static_cast<Connection*>(aParser->data); }
+
+  static int OnBegin(http_parser* aParser)
+  {
+    Connection& self = From(aParser);
+    self.m_parsed = {};
+    self.m_url.clear();
+    self.m_inValue = true;
+    return 0;
+  }
+
+  static int OnUrl(http_parser* aParser, const char* aData, std::size_t aLength)
+  {
+    From(aParser).m_url.append(aData, aLength);
+    return 0;
+  }
+
+  static int OnField(http_parser* aParser, const char* aData, std::size_t aLength)
+  {
+    Connection& self = From(aParser);
+    if (std::exchange(self.m_inValue, false)) {
+      self.m_parsed.m_headers.emplace_back();
+    }
+    self.m_parsed.m_headers.back().m_name.append(aData, aLength);
+    return 0;
+  }
+
+  static int OnValue(http_parser* aParser, const char* aData, std::size_t aLength)
+  {
+    Connection& self = From(aParser);
+    self.m_inValue = true;
+    self.m_parsed.m_headers.back().m_value.append(aData, aLength);
+    return 0;
+  }
+
+  static int OnHeadersComplete(http_parser* aParser)
+  {
+    Connection& self = From(aParser);
+    if (self.m_parsed.Header("Expect")) {
+      asio::error_code ignored;
+      asio::write(self.m_socket, asio::buffer(kContinue), ignored);
+    }
+    return 0;
+  }
+
+  static int OnBody(http_parser* aParser, const char* aData, std::size_t aLength)
+  {
+    From(aParser).m_parsed.m_body.append(aData, aLength);
+    return 0;
+  }
+
+  static int OnMessageComplete(http_parser* aParser)
+  {
+    Connection& self = From(aParser);
+    HttpRequest& request = self.m_parsed;
+    request.m_method = http_method_str(static_cast<http_method>(aParser->method));
+    const std::size_t mark = self.m_url.find('?');
+    request.m_path = self.m_url.substr(0, mark);
+    request.m_query = mark == std::string::npos ? "" : self.m_url.substr(mark + 1);
+    request.m_peer = self.m_peer;
+    self.m_whole.emplace_back(std::move(request), http_should_keep_alive(aParser) != 0);
+    return 0;
+  }
+
+  static const http_parser_settings& Callbacks()
+  {
+    static const http_parser_settings sCallbacks = [] {
+      http_parser_settings settings{};
+      settings.on_message_begin = &OnBegin;
+      settings.on_url = &OnUrl;
+      settings.on_header_field = &OnField;
+      settings.on_header_value = &OnValue;
+      settings.on_headers_complete = &OnHeadersComplete;
+      settings.on_body = &OnBody;
+      settings.on_message_complete = &OnMessageComplete;
+      return settings;
+    }();
+    return sCallbacks;
+  }
+
+  tcp::socket m_socket;
+  std::shared_ptr<Shared> m_shared;
+  std::string m_peer;
+  http_parser m_parser{};
+  std::array<char, kReadBytes> m_buffer;
+  HttpRequest m_parsed; ///< Being read.
+  std::string m_url;
+  bool m_inValue = true;
+  std::deque<std::pair<HttpRequest, bool>> m_whole; ///< Read whole, with keep-alive; not handled.
+  HttpRequest m_current;                            ///< Being handled.
+  bool m_keepAlive = true;
+  bool m_waitsForAnswer = false;
+  bool m_isWriting = false;
+  std::string m_output;
+};
+
+StandinServer::StandinServer(asio::io_context& aContext,
+                             std::string aAddress,
+                             std::uint16_t aPort,
+                             StandinHandler aHandler)
+  : m_shared(std::make_shared<Shared>(aContext, std::move(aHandler)))
+{
+  m_shared->m_address = std::move(aAddress);
+  m_shared->m_port = aPort;
+}
+
+StandinServer::~StandinServer()
+{
+  StopListening();
+  CloseConnections(false);
+}
+
+Result<void> StandinServer::Listen()
+{
+  if (IsListening()) {
+    return boost::outcome_v2::success();
+  }
+  tcp::acceptor& acceptor = m_shared->m_acceptor;
+  asio::error_code error;
+  const auto address = asio::ip::make_address(m_shared->m_address, error);
+  const tcp::endpoint endpoint(address, m_shared->m_port);
+  const auto attempt = [&](auto&& aStep) {
+    if (!error) {
+      aStep();
+    }
+  };
+  attempt([&] { acceptor.open(endpoint.protocol(), error); });
+  attempt([&] { acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+  attempt([&] { acceptor.bind(endpoint, error); });
+  attempt([&] { acceptor.listen(asio::socket_base::max_listen_connections, error); });
+  if (error) {
+    const std::string peer = m_shared->m_address + ":" + std::to_string(m_shared->m_port);
+    StopListening();
+    return Error{ ErrorKind::Unavailable, "listen", peer, error.message() };
+  }
+  m_shared->m_port = acceptor.local_endpoint().port();
+  Accept();
+  return boost::outcome_v2::success();
+}
+
+void StandinServer::Accept()
+{
+  m_shared->m_acceptor.async_accept(
+    [this, shared = m_shared](const asio::error_code& aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted || !shared->m_acceptor.is_open()) {
+        return;
+      }
+      if (!aError) {
+        std::make_shared<Connection>(std::move(aSocket), shared)->Read();
+      }
+      Accept();
+    });
+}
+
+void StandinServer::StopListening()
+{
+  asio::error_code ignored;
+  m_shared->m_acceptor.close(ignored);
+}
+
+bool StandinServer::IsListening() const
+{
+  return m_shared->m_acceptor.is_open();
+}
+
+std::uint16_t StandinServer::Port() const
+{
+  return m_shared->m_port;
+}
+
+void StandinServer::CloseConnections(bool aReset)
+{
+  const std::vector<Connection*> open(m_shared->m_open.begin(), m_shared->m_open.end());
+  for (Connection* connection : open) {
+    connection->Shut(aReset);
+  }
+}
+
+const StandinTraffic& StandinServer::Traffic() const
+{
+  return m_shared->m_traffic;
+}
+
+} // namespace mustardtray
