Process: checked settings and metrics

Cause: a daemon needs its addresses, zone and limits checked before it starts. Every fault is reported at once with its JSON pointer; unknown keys are faults with the closest known key.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -65,12 +65,14 @@
                        restinio::noop_strand_t,
                        GuardedSocket>
 {
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
 };
 
 struct TlsTraits
   : restinio::single_thread_tls_traits_t<restinio::asio_timer_manager_t, ParserFaultLogger>
 {
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- /dev/null
+++ b/src/process/Settings.cpp
@@ -0,0 +1,173 @@
+#include "mustardtray/process/Settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <asio/ip/address.hpp>
+#include <boost/outcome/try.hpp>
+#include <fmt/format.h>
+
+namespace mustardtray {
+
+namespace {
+
+constexpr Millis kShortestPeriod{ 10 };
+constexpr Millis kLongestPeriod{ 60'000 };
+constexpr Millis kLongestTimeout{ 600'000 };
+constexpr std::int64_t kLargestBody = 1u << 30;
+constexpr std::int64_t kLargestHeader = 64u << 10;
+
+bool IsIpNumber(const std::string& aAddress)
+{
+  asio::error_code error;
+  asio::ip::make_address(aAddress, error);
+  return !error;
+}
+
+bool IsLoopback(const std::string& aAddress)
+{
+  asio::error_code error;
+  const asio::ip::address address = asio::ip::make_address(aAddress, error);
+  return !error && address.is_loopback();
+}
+
+ListenAddress ReadListenAddress(JsonReader& aReader)
+{
+  ListenAddress listen;
+  listen.m_address = aReader.String("address", listen.m_address);
+  if (!IsIpNumber(listen.m_address)) {
+    aReader.Fail("address", "an IP number");
+  }
+  listen.m_port = static_cast<std::uint16_t>(aReader.RequiredInteger("port", 0, 65535));
+  return listen;
+}
+
+CallerSettings ReadCaller(JsonReader& aReader)
+{
+  CallerSettings caller;
+  caller.m_listen = ReadListenAddress(aReader);
+  caller.m_maxBodyBytes = static_cast<std::uint64_t>(aReader.Integer(
+    "max_body_bytes", static_cast<std::int64_t>(caller.m_maxBodyBytes), 0, kLargestBody));
+  caller.m_maxHeaderBytes = static_cast<std::size_t>(aReader.Integer(
+    "max_header_bytes", static_cast<std::int64_t>(caller.m_maxHeaderBytes), 256, kLargestHeader));
+  caller.m_maxConnections = static_cast<std::size_t>(aReader.Integer(
+    "max_connections", static_cast<std::int64_t>(caller.m_maxConnections), 1, 1'000'000));
+  caller.m_readTimeout =
+    aReader.Duration("read_timeout_ms", caller.m_readTimeout, kShortestPeriod, kLongestTimeout);
+  return caller;
+}
+
+OperatorSettings ReadOperator(JsonReader& aReader)
+{
+  OperatorSettings settings;
+  settings.m_listen = ReadListenAddress(aReader);
+  settings.m_certificateFile = aReader.String("certificate_file", "");
+  settings.m_keyFile = aReader.String("key_file", "");
+  settings.m_tokenFile = aReader.String("token_file", "");
+  if (settings.m_certificateFile.empty() != settings.m_keyFile.empty()) {
+    aReader.Fail("certificate_file", "certificate_file and key_file together");
+  }
+  const bool isProtected = !settings.m_certificateFile.empty() && !settings.m_tokenFile.empty();
+  if (!isProtected && !IsLoopback(settings.m_listen.m_address)) {
+    aReader.Fail("address", "a loopback address unless TLS files and token_file are set");
+  }
+  return settings;
+}
+
+void ReadPlatform(JsonReader& aReader, PlatformSettings& aPlatform)
+{
+  aPlatform.m_url = aReader.RequiredString("url");
+  if (!aPlatform.m_url.starts_with("http://") && !aPlatform.m_url.starts_with("https://")) {
+    aReader.Fail("url", "a URL that starts with http:// or https://");
+  }
+  aPlatform.m_timeout =
+    aReader.Duration("timeout_ms", aPlatform.m_timeout, kShortestPeriod, kLongestTimeout);
+}
+
+void ReadListeners(JsonReader& aReader, Settings& aSettings)
+{
+  aReader.RequiredObject("caller",
+                         [&](JsonReader& aPart) { aSettings.m_caller = ReadCaller(aPart); });
+  aReader.RequiredObject(
+    "forward", [&](JsonReader& aPart) { aSettings.m_forward = ReadListenAddress(aPart); });
+  aReader.RequiredObject("peer",
+                         [&](JsonReader& aPart) { aSettings.m_peer = ReadListenAddress(aPart); });
+  aReader.RequiredObject("operator",
+                         [&](JsonReader& aPart) { aSettings.m_operator = ReadOperator(aPart); });
+  aReader.RequiredObject(
+    "metrics", [&](JsonReader& aPart) { aSettings.m_metrics = ReadListenAddress(aPart); });
+}
+
+} // namespace
+
+std::string ListenAddress::Url() const
+{
+  if (m_address.find(':') != std::string::npos) {
+    return fmt::format("http://[{}]:{}", m_address, m_port);
+  }
+  return fmt::format("http://{}:{}", m_address, m_port);
+}
+
+Settings ParseSettings(const Json& aDocument, FieldErrors& aErrors)
+{
+  Settings settings;
+  JsonReader reader(aDocument, "", aErrors);
+  settings.m_node = reader.RequiredString("node");
+  settings.m_zone = reader.RequiredString("zone");
+  settings.m_region = reader.String("region", "default");
+  ReadListeners(reader, settings);
+  settings.m_outboundAddress = reader.String("outbound_address", "");
+  if (!settings.m_outboundAddress.empty() && !IsIpNumber(settings.m_outboundAddress)) {
+    reader.Fail("outbound_address", "an IP number");
+  }
+  reader.RequiredObject("platform",
+                        [&](JsonReader& aPart) { ReadPlatform(aPart, settings.m_platform); });
+  settings.m_seeds = reader.Strings("seeds");
+  settings.m_heartbeatPeriod =
+    reader.Duration("heartbeat_ms", settings.m_heartbeatPeriod, kShortestPeriod, kLongestPeriod);
+  settings.m_pollPeriod =
+    reader.Duration("poll_ms", settings.m_pollPeriod, kShortestPeriod, kLongestPeriod);
+  settings.m_drainTimeout =
+    reader.Duration("drain_timeout_ms", settings.m_drainTimeout, Millis(0), kLongestTimeout);
+  settings.m_logLevel = reader.Enum("log_level", settings.m_logLevel);
+  reader.Finish();
+  return settings;
+}
+
+std::string JoinErrors(const FieldErrors& aErrors)
+{
+  std::string text;
+  for (const FieldError& error : aErrors) {
+    text += text.empty() ? "" : "\n";
+    text += error.Text();
+  }
+  return text;
+}
+
+Result<Json> LoadJsonFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return Error{ ErrorKind::NotFound, "read file", aPath, "cannot be opened" };
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  try {
+    return Json::parse(text.str());
+  } catch (const Json::parse_error& fault) {
+    return Error{ ErrorKind::Invalid, "parse JSON", aPath, fault.what() };
+  }
+}
+
+Result<Settings> LoadSettings(const std::string& aPath)
+{
+  BOOST_OUTCOME_TRY(document, LoadJsonFile(aPath));
+  FieldErrors errors;
+  Settings settings = ParseSettings(document, errors);
+  if (!errors.empty()) {
+    return Error{ ErrorKind::Invalid, "check settings", aPath, JoinErrors(errors) };
+  }
+  return settings;
+}
+
+} // namespace mustardtray
