--- a/include/mustardtray/version/Configuration.h
+++ b/include/mustardtray/version/Configuration.h
@@ -17,12 +17,19 @@
 
 using Labels = std::map<std::string, std::string>;
 
-/// Matches label sets: every key must be present with one of the listed values.
+/// Labels that each VM has by the platform's list; the configuration can't set them.
+inline constexpr std::string_view kVmLabel = "vm";
+inline constexpr std::string_view kZoneLabel = "zone";
+inline constexpr std::string_view kRackLabel = "rack";
+
+/// Matches label sets: every key must be present with one of the listed values. An empty selector
+/// matches all.
 struct Selector
 {
   std::map<std::string, std::vector<std::string>> m_anyOf;
 
   bool Matches(const Labels& aLabels) const;
+  bool operator==(const Selector&) const = default;
 };
 
 enum class Urgency
@@ -52,6 +59,8 @@
   Millis m_expectedRun{ 100 };        ///< The operators' hint; measured times go before it.
   int m_maxQueued = 256;              ///< Requests that may wait at one entry VM.
   double m_floorShare = 0.1;          ///< Part of the slots that this queue keeps in any flood.
+
+  bool operator==(const QueueConfig&) const = default;
 };
 
 /// How many of a service's minions may be out of service at once.
@@ -59,8 +68,11 @@
 {
   int m_maxUnavailable = 1; ///< Planned and unplanned together.
   int m_failureReserve = 0; ///< Of these, kept free of planned stops for failures within a wave.
+
+  bool operator==(const AvailabilityBudget&) const = default;
 };
 
+/// Requests to one path prefix, and where they run.
 struct ServiceConfig
 {
   std::string m_name;
@@ -73,21 +85,54 @@
   Millis m_maxRun{ 30'000 }; ///< Longest time that a minion works on one request.
   AvailabilityBudget m_budget;
   std::vector<QueueConfig> m_queues;
+
+  bool operator==(const ServiceConfig&) const = default;
 };
 
+/// VMs whose labels match belong to the pool; no VM may match two.
 struct PoolConfig
 {
   std::string m_name;
   Selector m_selector;
   int m_minVms = 0; ///< A move never leaves fewer.
+
+  bool operator==(const PoolConfig&) const = default;
 };
 
+/// Quota of a team: what its jobs may hold at once. 0 accelerators allows none.
 struct TeamConfig
 {
   std::string m_name;
   double m_cores = 0;
   std::int64_t m_memoryMb = 0;
   int m_accelerators = 0;
+
+  bool operator==(const TeamConfig&) const = default;
+};
+
+enum class Weekday
+{
+  Sunday,
+  Monday,
+  Tuesday,
+  Wednesday,
+  Thursday,
+  Friday,
+  Saturday,
+};
+
+template<>
+struct EnumNames<Weekday>
+{
+  static constexpr std::array kTable{
+    std::pair{ Weekday::Sunday, std::string_view("sunday") },
+    std::pair{ Weekday::Monday, std::string_view("monday") },
+    std::pair{ Weekday::Tuesday, std::string_view("tuesday") },
+    std::pair{ Weekday::Wednesday, std::string_view("wednesday") },
+    std::pair{ Weekday::Thursday, std::string_view("thursday") },
+    std::pair{ Weekday::Friday, std::string_view("friday") },
+    std::pair{ Weekday::Saturday, std::string_view("saturday") },
+  };
 };
 
 /// Weekly times at which waves may take VMs out, in UTC.
@@ -98,17 +143,22 @@
   std::vector<int> m_weekdays; ///< 0 is Sunday.
   int m_startMinute = 0;       ///< Minutes after midnight.
   int m_lengthMinutes = 0;
+
+  bool operator==(const MaintenanceWindow&) const = default;
 };
 
+/// One version, complete.
 struct Configuration
 {
-  std::uint64_t m_version = 0;
+  std::uint64_t m_version = 0;              ///< 0 before anything was accepted.
   std::map<std::string, Labels> m_vmLabels; ///< By VM name.
   std::map<std::string, PoolConfig> m_pools;
   std::string m_sparePool; ///< Empty when there is none.
   std::map<std::string, ServiceConfig> m_services;
   std::map<std::string, TeamConfig> m_teams;
   std::map<std::string, MaintenanceWindow> m_windows;
+
+  bool operator==(const Configuration&) const = default;
 };
 
 } // namespace mustardtray
