Version: judge a configuration as a whole, compile it and show its effect

Cause: a configuration may be well formed and still be impossible: a VM in two pools, a budget that no drain can meet, a service without a VM. Each of these would only show once the fleet controllers act on it.

Ruled out: refusing labels of a VM that the platform's list lacks. The list lags, so a new VM could not be labelled; it is a warning with the closest name. Raw string prefixes for paths were ruled out too: /bookings would take /bookingsx, so prefixes match whole segments, and a queue that an earlier one hides is a fault.

--- a/include/mustardtray/version/Configuration.h
+++ b/include/mustardtray/version/Configuration.h
@@ -78,7 +78,7 @@
   std::string m_name;
   std::string m_pool;        ///< The service runs one minion on each VM of this pool ...
   Selector m_selector;       ///< ... whose labels match; an empty selector matches all.
-  std::string m_pathPrefix;  ///< Requests whose path starts with it belong to the service.
+  std::string m_pathPrefix;  ///< Requests below it belong to the service (PathPrefix.h).
   std::uint16_t m_port = 0;  ///< Minions listen on their VM's address and this port.
   int m_slots = 8;           ///< Requests that one minion runs at once.
   int m_connections = 64;    ///< Connections that one minion takes at once.
--- /dev/null
+++ b/include/mustardtray/version/PathPrefix.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/// Prefixes of request paths, matched by whole segments: "/a" covers "/a" and "/a/b", not "/ab".
+
+#include <string_view>
+
+namespace mustardtray {
+
+inline std::string_view WithoutTrailingSlash(std::string_view aPath)
+{
+  return aPath.ends_with('/') ? aPath.substr(0, aPath.size() - 1) : aPath;
+}
+
+/// An empty prefix covers every path.
+inline bool StartsWithPath(std::string_view aPath, std::string_view aPrefix)
+{
+  const std::string_view prefix = WithoutTrailingSlash(aPrefix);
+  if (!aPath.starts_with(prefix)) {
+    return false;
+  }
+  return aPath.size() == prefix.size() || aPath[prefix.size()] == '/';
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/src/version/ConfigurationChange.cpp
@@ -0,0 +1,196 @@
+#include "mustardtray/version/ConfigurationChange.h"
+
+#include <algorithm>
+#include <set>
+
+#include "mustardtray/version/CompiledConfiguration.h"
+#include "mustardtray/version/ParseConfiguration.h"
+
+namespace mustardtray {
+
+namespace {
+
+const Json& MemberOf(const Json& aObject, const std::string& aKey)
+{
+  static const Json sNull;
+  const auto found = aObject.find(aKey);
+  return found == aObject.end() ? sNull : *found;
+}
+
+void Compare(const Json::json_pointer& aPointer,
+             const Json& aBefore,
+             const Json& aAfter,
+             std::vector<FieldChange>& aChanges)
+{
+  if (aBefore == aAfter) {
+    return;
+  }
+  if (!aBefore.is_object() || !aAfter.is_object()) {
+    aChanges.push_back({ aPointer.to_string(), aBefore, aAfter });
+    return;
+  }
+  std::set<std::string> keys;
+  for (const auto& [key, value] : aBefore.items()) {
+    keys.insert(key);
+  }
+  for (const auto& [key, value] : aAfter.items()) {
+    keys.insert(key);
+  }
+  for (const std::string& key : keys) {
+    Compare(aPointer / key, MemberOf(aBefore, key), MemberOf(aAfter, key), aChanges);
+  }
+}
+
+std::set<std::string> VmNames(const CompiledConfiguration& aCompiled, const std::string& aService)
+{
+  std::set<std::string> names;
+  for (const auto& [zone, minions] : aCompiled.MinionsOf(aService)) {
+    for (const Minion& minion : minions) {
+      names.insert(minion.m_vm);
+    }
+  }
+  return names;
+}
+
+std::size_t CountMissing(const std::set<std::string>& aBefore, const std::set<std::string>& aAfter)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aBefore.begin(), aBefore.end(), [&aAfter](const std::string& aName) {
+      return !aAfter.contains(aName);
+    }));
+}
+
+class EffectBuilder
+{
+public:
+  EffectBuilder(const Configuration& aBefore,
+                const Configuration& aAfter,
+                const std::vector<VmListing>& aVms)
+    : m_before(CompiledConfiguration::Compile(aBefore, aVms))
+    , m_after(CompiledConfiguration::Compile(aAfter, aVms))
+  {
+    for (const VmListing& vm : aVms) {
+      m_vms.insert(vm.m_name);
+    }
+  }
+
+  ConfigurationEffect Build()
+  {
+    m_effect.m_changes = Difference(m_before->Source(), m_after->Source());
+    for (const std::string& vm : m_vms) {
+      AddVm(vm);
+    }
+    std::set<std::string> services;
+    for (const auto& [name, service] : m_before->Source().m_services) {
+      services.insert(name);
+    }
+    for (const auto& [name, service] : m_after->Source().m_services) {
+      services.insert(name);
+    }
+    for (const std::string& service : services) {
+      AddService(service);
+    }
+    return std::move(m_effect);
+  }
+
+private:
+  void AddVm(const std::string& aVm)
+  {
+    const std::string from(m_before->PoolOf(aVm));
+    const std::string to(m_after->PoolOf(aVm));
+    if (from != to) {
+      m_effect.m_moves.push_back({ aVm, from, to });
+    }
+    const std::vector<std::string> runs = m_before->ServicesOn(aVm);
+    if (!runs.empty() && (from != to || runs != m_after->ServicesOn(aVm))) {
+      m_effect.m_drains.push_back(aVm);
+    }
+  }
+
+  void AddService(const std::string& aService)
+  {
+    const std::set<std::string> before = VmNames(*m_before, aService);
+    const std::set<std::string> after = VmNames(*m_after, aService);
+    const AvailabilityBudget budgetBefore = BudgetOf(*m_before, aService);
+    const AvailabilityBudget budget = BudgetOf(*m_after, aService);
+    if (before == after && budget == budgetBefore) {
+      return;
+    }
+    m_effect.m_budgets.push_back({ aService,
+                                   before.size(),
+                                   after.size(),
+                                   CountMissing(before, after),
+                                   budget.m_maxUnavailable - budget.m_failureReserve });
+  }
+
+  static AvailabilityBudget BudgetOf(const CompiledConfiguration& aCompiled,
+                                     const std::string& aService)
+  {
+    const auto& services = aCompiled.Source().m_services;
+    const auto found = services.find(aService);
+    return found == services.end() ? AvailabilityBudget{ 0, 0 } : found->second.m_budget;
+  }
+
+  CompiledPointer m_before;
+  CompiledPointer m_after;
+  std::set<std::string> m_vms;
+  ConfigurationEffect m_effect;
+};
+
+} // namespace
+
+std::vector<FieldChange> Difference(const Json& aBefore, const Json& aAfter)
+{
+  std::vector<FieldChange> changes;
+  Compare(Json::json_pointer(), aBefore, aAfter, changes);
+  return changes;
+}
+
+std::vector<FieldChange> Difference(const Configuration& aBefore, const Configuration& aAfter)
+{
+  Json before = ToJson(aBefore);
+  Json after = ToJson(aAfter);
+  before.erase("version");
+  after.erase("version");
+  return Difference(before, after);
+}
+
+ConfigurationEffect EffectOf(const Configuration& aBefore,
+                             const Configuration& aAfter,
+                             const std::vector<VmListing>& aVms)
+{
+  return EffectBuilder(aBefore, aAfter, aVms).Build();
+}
+
+Json ToJson(const FieldChange& aChange)
+{
+  return Json{ { "pointer", aChange.m_pointer },
+               { "before", aChange.m_before },
+               { "after", aChange.m_after } };
+}
+
+Json ToJson(const ConfigurationEffect& aEffect)
+{
+  Json changes = Json::array();
+  for (const FieldChange& change : aEffect.m_changes) {
+    changes.push_back(ToJson(change));
+  }
+  Json moves = Json::array();
+  for (const VmMove& move : aEffect.m_moves) {
+    moves.push_back({ { "vm", move.m_vm }, { "from", move.m_from }, { "to", move.m_to } });
+  }
+  Json budgets = Json::array();
+  for (const BudgetEffect& budget : aEffect.m_budgets) {
+    budgets.push_back({ { "service", budget.m_service },
+                        { "minions_before", budget.m_minionsBefore },
+                        { "minions_after", budget.m_minionsAfter },
+                        { "drains", budget.m_drains },
+                        { "at_once", budget.m_atOnce } });
+  }
+  return Json{ { "changes", std::move(changes) },
+               { "moves", std::move(moves) },
+               { "drains", aEffect.m_drains },
+               { "budgets", std::move(budgets) } };
+}
+
+} // namespace mustardtray
