--- a/src/process/Log.cpp
+++ b/src/process/Log.cpp
@@ -1,6 +1,8 @@
 #include "mustardtray/process/Log.h"
 
 #include <atomic>
+#include <chrono>
+#include <cstdio>
 #include <memory>
 
 #include <spdlog/async.h>
@@ -13,6 +15,8 @@
 
 constexpr std::size_t kQueueLines = 8192;
 constexpr std::size_t kLogThreads = 1;
+constexpr std::size_t kStreamBufferBytes = 64u << 10;
+constexpr std::chrono::seconds kFlushPeriod{ 1 };
 
 std::atomic<LogLevel> gLevel{ LogLevel::Off };
 std::shared_ptr<spdlog::logger> gLogger;
@@ -59,6 +63,8 @@
 
 void StartLogging(LogLevel aLevel, std::string_view aNode)
 {
+  // Standard error is unbuffered by default: a system call for each line.
+  std::setvbuf(stderr, nullptr, _IOFBF, kStreamBufferBytes);
   spdlog::init_thread_pool(kQueueLines, kLogThreads);
   auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
   gLogger = std::make_shared<spdlog::async_logger>("mustardtray",
@@ -68,7 +74,9 @@
   gLogger->set_pattern(fmt::format("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l node={} %v", aNode),
                        spdlog::pattern_time_type::utc);
   gLogger->set_level(SpdlogLevel(aLevel));
-  gLogger->flush_on(spdlog::level::info);
+  spdlog::register_logger(gLogger);
+  gLogger->flush_on(spdlog::level::warn);
+  spdlog::flush_every(kFlushPeriod);
   gLevel = aLevel;
 }
 
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -45,7 +45,8 @@
   CHECK(errors[0].m_pointer == "/zone");
   CHECK(errors[1].m_pointer == "/caller/port");
   CHECK(errors[2].m_allowed == "debug|info|warning|error|off");
-  CHECK(errors[3].m_allowed == "no such key here");
+  CHECK(errors[3].m_pointer == "/heartbeat");
+  CHECK(errors[3].m_allowed == "no such key here; did you mean \"heartbeat_ms\"?");
 }
 
 TEST_CASE("The operators' listener binds beyond loopback only with TLS and a token")
