--- a/src/process/VmRecord.cpp
+++ b/src/process/VmRecord.cpp
@@ -2,6 +2,15 @@
 
 namespace mustardtray {
 
+namespace {
+
+std::uint64_t ReadCount(JsonReader& aReader, std::string_view aKey)
+{
+  return static_cast<std::uint64_t>(aReader.Integer(aKey, 0, 0, INT64_MAX));
+}
+
+} // namespace
+
 Json ToJson(const VmRecord& aRecord)
 {
   return Json{ { "name", aRecord.m_name },
@@ -9,10 +18,19 @@
                { "zone", aRecord.m_zone },
                { "rack", aRecord.m_rack },
                { "pool", aRecord.m_pool },
+               { "home_pool", aRecord.m_homePool },
                { "phase", ToName(aRecord.m_phase) },
                { "generation", aRecord.m_generation },
+               { "operation", ToName(aRecord.m_operation) },
                { "operation_id", aRecord.m_operationId },
-               { "target_pool", aRecord.m_targetPool } };
+               { "last_operation_id", aRecord.m_lastOperationId },
+               { "target_pool", aRecord.m_targetPool },
+               { "attempt", aRecord.m_attempt },
+               { "down", aRecord.m_down },
+               { "services", aRecord.m_services },
+               { "config_version", aRecord.m_configVersion },
+               { "wave_number", aRecord.m_waveNumber },
+               { "maintained_number", aRecord.m_maintainedNumber } };
 }
 
 Result<VmRecord> ParseVmRecord(const Json& aValue)
@@ -25,10 +43,19 @@
   record.m_zone = reader.RequiredString("zone");
   record.m_rack = reader.String("rack", "");
   record.m_pool = reader.RequiredString("pool");
+  record.m_homePool = reader.String("home_pool", record.m_pool);
   record.m_phase = reader.RequiredEnum<VmPhase>("phase");
-  record.m_generation = static_cast<std::uint64_t>(reader.Integer("generation", 0, 0, INT64_MAX));
+  record.m_generation = ReadCount(reader, "generation");
+  record.m_operation = reader.Enum("operation", VmOperation::None);
   record.m_operationId = reader.String("operation_id", "");
+  record.m_lastOperationId = reader.String("last_operation_id", "");
   record.m_targetPool = reader.String("target_pool", "");
+  record.m_attempt = static_cast<int>(reader.Integer("attempt", 0, 0, INT32_MAX));
+  record.m_down = reader.Bool("down", false);
+  record.m_services = reader.Strings("services");
+  record.m_configVersion = ReadCount(reader, "config_version");
+  record.m_waveNumber = ReadCount(reader, "wave_number");
+  record.m_maintainedNumber = ReadCount(reader, "maintained_number");
   if (!errors.empty()) {
     return Error{ ErrorKind::Invalid, "parse VM record", "", errors.front().Text() };
   }
--- /dev/null
+++ b/src/process/fleet/MovePlanner.cpp
@@ -0,0 +1,192 @@
+#include "mustardtray/process/fleet/MovePlanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mustardtray {
+
+namespace {
+
+/// VMs that serve the pool or are about to; those down or leaving do not.
+int CapacityOf(const FleetState& aState, const std::string& aPool)
+{
+  const PoolRecord record = aState.m_view.Pool(aPool).m_value;
+  int count = static_cast<int>(record.m_joining.size());
+  const auto members = aState.m_index.m_poolMembers.find(aPool);
+  if (members == aState.m_index.m_poolMembers.end()) {
+    return count;
+  }
+  for (const std::string& name : members->second) {
+    const VmRecord& vm = *aState.m_view.Vm(name);
+    const bool isCounted = record.m_joining.contains(name) || record.m_leaving.contains(name);
+    count += vm.m_down || isCounted ? 0 : 1;
+  }
+  return count;
+}
+
+bool IsMoving(const FleetState& aState, const std::string& aPool)
+{
+  const PoolRecord record = aState.m_view.Pool(aPool).m_value;
+  return !record.m_joining.empty() || !record.m_leaving.empty();
+}
+
+Millis LastingTime(const FleetPolicy& aPolicy, int aFactor)
+{
+  return aPolicy.m_rules.m_lastingOnly ? aPolicy.m_moveCost * aFactor : Millis{ 0 };
+}
+
+void Follow(std::optional<TimePoint>& aSince, bool aHolds, TimePoint aNow)
+{
+  if (!aHolds) {
+    aSince.reset();
+  } else if (!aSince) {
+    aSince = aNow;
+  }
+}
+
+/// The VM of the pool whose loss costs its services and its zone the least.
+std::optional<std::string> ChooseVm(const FleetState& aState,
+                                    const std::string& aPool,
+                                    bool aIsReturn)
+{
+  std::map<std::string, int> zoneCounts;
+  std::vector<const VmRecord*> fitting;
+  const auto members = aState.m_index.m_poolMembers.find(aPool);
+  if (members == aState.m_index.m_poolMembers.end()) {
+    return std::nullopt;
+  }
+  for (const std::string& name : members->second) {
+    const VmRecord& vm = *aState.m_view.Vm(name);
+    ++zoneCounts[vm.m_zone];
+    const bool isLent = !vm.m_homePool.empty() && vm.m_homePool != vm.m_pool;
+    const bool isLeaving =
+      aState.IsListed(name, VmState::Leaving) || aState.IsListed(name, VmState::Gone);
+    if (!vm.IsOut() && !vm.m_down && !isLeaving && (isLent || !aIsReturn) &&
+        !RefuseTakeOut(aState, name) && !RefuseLeavePool(aState, name)) {
+      fitting.push_back(&vm);
+    }
+  }
+  const auto best = std::max_element(
+    fitting.begin(), fitting.end(), [&zoneCounts](const VmRecord* aLeft, const VmRecord* aRight) {
+      return zoneCounts[aLeft->m_zone] < zoneCounts[aRight->m_zone];
+    });
+  return best == fitting.end() ? std::nullopt : std::optional((*best)->m_name);
+}
+
+} // namespace
+
+void MovePlanner::AddSample(const std::vector<PoolLoad>& aLoads,
+                            const FleetPolicy& aPolicy,
+                            TimePoint aNow)
+{
+  const double window =
+    std::chrono::duration<double>(aPolicy.m_moveCost * aPolicy.m_deficitFactor).count();
+  for (const PoolLoad& load : aLoads) {
+    PoolTrend& trend = m_trends[load.m_pool];
+    const bool isFirst = !trend.m_firstSample;
+    if (isFirst) {
+      trend.m_firstSample = aNow;
+    }
+    const double elapsed = std::chrono::duration<double>(aNow - trend.m_lastSample).count();
+    const double weight =
+      !aPolicy.m_rules.m_lastingOnly ? 1.0 : (isFirst ? 0.0 : 1.0 - std::exp(-elapsed / window));
+    trend.m_average += weight * (load.m_busyVms - trend.m_average);
+    trend.m_lastSample = aNow;
+  }
+}
+
+std::vector<PlannedMove> MovePlanner::Plan(const FleetState& aState, TimePoint aNow)
+{
+  std::vector<PlannedMove> moves;
+  const std::string& spare = aState.m_configuration.m_sparePool;
+  if (spare.empty()) {
+    return moves;
+  }
+  for (const auto& [pool, config] : aState.m_configuration.m_pools) {
+    UpdateTrend(aState, pool, aNow);
+    if (pool == spare || IsMoving(aState, pool)) {
+      continue;
+    }
+    std::optional<PlannedMove> move;
+    if (IsLastingDeficit(aState, pool, aNow)) {
+      move = PlanBorrow(aState, pool);
+    } else if (IsLastingSurplus(aState, pool, aNow)) {
+      move = PlanReturn(aState, pool);
+    }
+    if (move) {
+      m_trends[pool].m_deficitSince.reset();
+      m_trends[pool].m_surplusSince.reset();
+      moves.push_back(std::move(*move));
+    }
+  }
+  return moves;
+}
+
+double MovePlanner::AverageOf(const std::string& aPool) const
+{
+  const auto found = m_trends.find(aPool);
+  return found == m_trends.end() ? 0 : found->second.m_average;
+}
+
+void MovePlanner::UpdateTrend(const FleetState& aState, const std::string& aPool, TimePoint aNow)
+{
+  const auto found = m_trends.find(aPool);
+  if (found == m_trends.end()) {
+    return;
+  }
+  PoolTrend& trend = found->second;
+  const int capacity = CapacityOf(aState, aPool);
+  const FleetPolicy& policy = aState.m_policy;
+  Follow(trend.m_deficitSince, trend.m_average > capacity * policy.m_targetUse, aNow);
+  Follow(trend.m_surplusSince, trend.m_average < (capacity - 1) * policy.m_returnUse, aNow);
+}
+
+bool MovePlanner::IsLastingDeficit(const FleetState& aState,
+                                   const std::string& aPool,
+                                   TimePoint aNow) const
+{
+  const auto found = m_trends.find(aPool);
+  const FleetPolicy& policy = aState.m_policy;
+  return found != m_trends.end() && found->second.m_deficitSince &&
+         aNow - *found->second.m_deficitSince >= LastingTime(policy, policy.m_deficitFactor);
+}
+
+bool MovePlanner::IsLastingSurplus(const FleetState& aState,
+                                   const std::string& aPool,
+                                   TimePoint aNow) const
+{
+  const auto found = m_trends.find(aPool);
+  const FleetPolicy& policy = aState.m_policy;
+  return found != m_trends.end() && found->second.m_surplusSince &&
+         aNow - *found->second.m_surplusSince >= LastingTime(policy, policy.m_surplusFactor);
+}
+
+std::optional<PlannedMove> MovePlanner::PlanBorrow(const FleetState& aState,
+                                                   const std::string& aPool) const
+{
+  const std::string& spare = aState.m_configuration.m_sparePool;
+  if (!CanSpare(aState, spare)) {
+    return std::nullopt;
+  }
+  auto vm = ChooseVm(aState, spare, false);
+  return vm ? std::optional(PlannedMove{ std::move(*vm), aPool, false }) : std::nullopt;
+}
+
+std::optional<PlannedMove> MovePlanner::PlanReturn(const FleetState& aState,
+                                                   const std::string& aPool) const
+{
+  auto vm = ChooseVm(aState, aPool, true);
+  if (!vm) {
+    return std::nullopt;
+  }
+  std::string home = aState.m_view.Vm(*vm)->m_homePool;
+  return PlannedMove{ std::move(*vm), std::move(home), true };
+}
+
+bool MovePlanner::CanSpare(const FleetState& aState, const std::string& aPool) const
+{
+  const int left = CapacityOf(aState, aPool) - 1;
+  return AverageOf(aPool) <= left * aState.m_policy.m_targetUse;
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/src/process/fleet/VmExplanation.cpp
@@ -0,0 +1,50 @@
+#include "mustardtray/process/fleet/VmExplanation.h"
+
+#include <fmt/format.h>
+
+namespace mustardtray {
+
+namespace {
+
+void AddRecordLines(const VmRecord& aVm, std::vector<std::string>& aLines)
+{
+  aLines.push_back(
+    fmt::format("VM {} is {} in pool {}, availability zone {}, rack {}, generation {}",
+                aVm.m_name,
+                ToName(aVm.m_phase),
+                aVm.m_pool,
+                aVm.m_zone,
+                aVm.m_rack,
+                aVm.m_generation));
+  if (aVm.IsOut()) {
+    aLines.push_back(fmt::format(
+      "out for {} {}, attempt {}", ToName(aVm.m_operation), aVm.m_operationId, aVm.m_attempt));
+  }
+  if (aVm.m_down) {
+    aLines.emplace_back("down unplanned");
+  }
+}
+
+} // namespace
+
+std::vector<std::string> ExplainVm(const FleetState& aState, const std::string& aVm)
+{
+  std::vector<std::string> lines;
+  if (const VmRecord* vm = aState.m_view.Vm(aVm)) {
+    AddRecordLines(*vm, lines);
+    if (PoolByLabels(aState.m_configuration, aState.m_index.m_labelsOf.at(aVm)).empty()) {
+      lines.emplace_back("no pool's selector matches its labels");
+    }
+  } else {
+    lines.push_back(fmt::format("VM {} has no row", aVm));
+  }
+  const BelievedVm* believed = aState.m_inventory ? aState.m_inventory->Find(aVm) : nullptr;
+  if (believed) {
+    for (const std::string& fault : believed->m_faults) {
+      lines.push_back("platform list: " + fault);
+    }
+  }
+  return lines;
+}
+
+} // namespace mustardtray
