--- a/src/version/ConfigurationChange.cpp
+++ b/src/version/ConfigurationChange.cpp
@@ -17,6 +17,19 @@
   return found == aObject.end() ? sNull : *found;
 }
 
+/// True for the labels of one VM: label by label, also when the VM had none before, so that
+/// operators who label a new VM with different keys don't conflict.
+bool IsLabelSet(const Json::json_pointer& aPointer)
+{
+  static const Json::json_pointer sLabels("/vm_labels");
+  return !aPointer.empty() && aPointer.parent_pointer() == sLabels;
+}
+
+Json OrEmptyObject(const Json& aValue)
+{
+  return aValue.is_null() ? Json::object() : aValue;
+}
+
 void Compare(const Json::json_pointer& aPointer,
              const Json& aBefore,
              const Json& aAfter,
@@ -25,6 +38,10 @@
   if (aBefore == aAfter) {
     return;
   }
+  if (IsLabelSet(aPointer) && (aBefore.is_null() || aAfter.is_null())) {
+    Compare(aPointer, OrEmptyObject(aBefore), OrEmptyObject(aAfter), aChanges);
+    return;
+  }
   if (!aBefore.is_object() || !aAfter.is_object()) {
     aChanges.push_back({ aPointer.to_string(), aBefore, aAfter });
     return;
--- a/src/version/ParseConfiguration.cpp
+++ b/src/version/ParseConfiguration.cpp
@@ -217,7 +217,10 @@
   JsonReader reader(aDocument, "", parsed.m_errors);
   config.m_version = static_cast<std::uint64_t>(reader.Integer("version", 0, 0, INT64_MAX));
   reader.EachMember("vm_labels", [&config](const std::string& aVm, JsonReader& aLabels) {
-    config.m_vmLabels[aVm] = ParseLabels(aVm, aLabels);
+    Labels labels = ParseLabels(aVm, aLabels);
+    if (!labels.empty()) {
+      config.m_vmLabels[aVm] = std::move(labels);
+    }
   });
   reader.EachMember("pools", [&config](const std::string& aName, JsonReader& aPool) {
     config.m_pools[aName] = ParsePool(aName, aPool);
