Process: the daemon, and the whole path through separate processes

Cause: the parts stood side by side. LocalFleet starts the stand-ins and one daemon for each entry VM of an example.

--- a/include/mustardtray/request/Router.h
+++ b/include/mustardtray/request/Router.h
@@ -26,7 +26,8 @@
 
 struct RouterOptions
 {
-  NodeIncarnation m_self;
+  std::string m_node;
+  std::uint64_t m_runId = 0;     ///< Differs between runs of a node's daemon.
   std::string m_outboundAddress; ///< IP number that connections come from; may be empty.
 };
 
--- a/include/mustardtray/request/RoutingSnapshot.h
+++ b/include/mustardtray/request/RoutingSnapshot.h
@@ -35,12 +35,15 @@
 
 struct RoutingSnapshot
 {
+  NodeIncarnation m_self; ///< Incarnation 0 until this node has registered.
   CompiledPointer m_configuration;
   std::uint64_t m_shareGeneration = 0;
   std::map<std::string, std::vector<MinionEndpoint>> m_minions; ///< By service.
   std::map<std::string, PeerEndpoint> m_peers;                  ///< By node.
   std::map<std::string, std::vector<PeerRoom>> m_rooms;         ///< By service.
   std::shared_ptr<const KeyOwnership> m_ownership;
+  /// Generations of the VM rows that m_minions was made from, for VMs that get no work.
+  std::map<std::string, std::uint64_t> m_outGenerations;
 };
 
 using RoutingPointer = std::shared_ptr<const RoutingSnapshot>;
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -116,6 +116,12 @@
   }
   service->m_maxRun = aConfig.m_maxRun;
   service->m_scheduler.Configure(now, aConfig);
+  std::erase_if(service->m_minions, [&](const auto& aEntry) {
+    return service->m_scheduler.SlotsInUse(now, aEntry.first) == 0;
+  });
+  for (auto& [vm, minion] : service->m_minions) {
+    minion.m_slots = 0;
+  }
   std::vector<MinionShare> shares;
   const auto minions = m_snapshot->m_minions.find(aConfig.m_name);
   if (minions != m_snapshot->m_minions.end()) {
@@ -137,8 +143,7 @@
 {
   const RequestId id = ++m_lastId;
   auto active = std::make_shared<ActiveRequest>(id, std::move(aRequest), std::move(aResponder));
-  active->m_wireId =
-    fmt::format("{}-{}-{}", m_options.m_self.m_node, m_options.m_self.m_incarnation, id);
+  active->m_wireId = fmt::format("{}-{:x}-{}", m_options.m_node, m_options.m_runId, id);
   m_active.emplace(id, active);
   return active;
 }
@@ -237,7 +242,7 @@
   const std::size_t partition = PartitionOfHash(aActive->m_key->Hash());
   const KeyPartitionRecord record =
     ownership ? ownership->m_partitions[partition].m_record : KeyPartitionRecord{};
-  const bool isOwner = record.m_owner == m_options.m_self;
+  const bool isOwner = record.m_owner == m_snapshot->m_self;
   if (isOwner) {
     ClaimKey(aActive, std::nullopt);
   } else {
@@ -315,9 +320,8 @@
     return;
   }
   const Millis left = CeilMillis(aActive->m_deadline - MonotonicNow());
-  ForwardEnvelope envelope{
-    ForwardKind::Owner, aActive->m_wireId, m_options.m_self.m_node, left, {}, aRecord.m_epoch
-  };
+  ForwardEnvelope envelope{ ForwardKind::Owner, aActive->m_wireId, m_options.m_node, left, {},
+                            aRecord.m_epoch };
   HttpCall call;
   call.m_step = "forward to key owner";
   call.m_method = aActive->m_request.m_method;
@@ -421,9 +425,9 @@
   call.m_connectTimeout = kConnectTimeout;
   const Millis left = CeilMillis(aAssignment.m_timeout);
   if (aAssignment.m_target.m_kind == TargetKind::EntryVm) {
-    const ForwardEnvelope envelope{ ForwardKind::Room,       aActive.m_wireId,
-                                    m_options.m_self.m_node, left,
-                                    aAssignment.m_hops,      0 };
+    const ForwardEnvelope envelope{ ForwardKind::Room,  aActive.m_wireId,
+                                    m_options.m_node,   left,
+                                    aAssignment.m_hops, 0 };
     call.m_headers.push_back({ std::string(kForwardHeader), FormatForwardEnvelope(envelope) });
     call.m_timeout = left + kForwardMargin;
   } else {
--- /dev/null
+++ b/standin/LocalFleet.cpp
@@ -0,0 +1,432 @@
+#include "standin/LocalFleet.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <thread>
+
+#include <boost/outcome/try.hpp>
+#include <fmt/format.h>
+
+#include "mustardtray/connection/HttpClient.h"
+#include "mustardtray/process/ConfigStore.h"
+#include "mustardtray/process/PlatformClient.h"
+#include "mustardtray/process/Settings.h"
+#include "mustardtray/process/TimerService.h"
+#include "mustardtray/version/CompiledConfiguration.h"
+#include "mustardtray/version/ParseConfiguration.h"
+#include "standin/VmFleet.h"
+
+namespace mustardtray {
+
+namespace {
+
+constexpr std::uint16_t kLockPort = 19'999;
+constexpr std::uint16_t kPlatformPort = 9'000;
+constexpr std::uint16_t kMinionControlPort = 9'001;
+constexpr std::uint16_t kCallerPort = 8'080;
+constexpr std::uint16_t kForwardPort = 8'081;
+constexpr std::uint16_t kPeerPort = 8'082;
+constexpr std::uint16_t kOperatorPort = 8'083;
+constexpr std::uint16_t kMetricsPort = 8'084;
+constexpr int kFirstNetwork = 10;
+constexpr int kLastNetwork = 250;
+constexpr Millis kStartTimeout{ 10'000 };
+constexpr Millis kStopTimeout{ 5'000 };
+
+std::string Url(const std::string& aAddress, std::uint16_t aPort)
+{
+  return fmt::format("http://{}:{}", aAddress, aPort);
+}
+
+Error Failure(std::string aStep, std::string aPeer, std::string aMessage)
+{
+  return { ErrorKind::Internal, std::move(aStep), std::move(aPeer), std::move(aMessage) };
+}
+
+bool HasEnded(LocalProcess& aProcess)
+{
+  if (aProcess.m_pid != 0 && waitpid(aProcess.m_pid, nullptr, WNOHANG) == aProcess.m_pid) {
+    aProcess.m_pid = 0;
+  }
+  return aProcess.m_pid == 0;
+}
+
+void EndProcess(LocalProcess& aProcess)
+{
+  if (HasEnded(aProcess)) {
+    return;
+  }
+  kill(aProcess.m_pid, SIGCONT);
+  kill(aProcess.m_pid, SIGTERM);
+  if (!WaitUntil(kStopTimeout, [&] { return HasEnded(aProcess); })) {
+    kill(aProcess.m_pid, SIGKILL);
+    waitpid(aProcess.m_pid, nullptr, 0);
+    aProcess.m_pid = 0;
+  }
+}
+
+std::optional<HttpResponse> PostJson(const std::string& aUrl, const Json& aBody)
+{
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_url = aUrl;
+  call.m_headers.push_back({ "Content-Type", "application/json" });
+  call.m_body = aBody.dump();
+  HttpCallResult result = CallAndWait(std::move(call));
+  if (result.has_error()) {
+    return std::nullopt;
+  }
+  return std::move(result.value());
+}
+
+} // namespace
+
+void SleepFor(Millis aTime)
+{
+  std::this_thread::sleep_for(aTime);
+}
+
+LocalFleet::LocalFleet(LocalFleetOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_networkLock(m_context)
+{
+}
+
+LocalFleet::~LocalFleet()
+{
+  for (auto& [name, daemon] : m_daemons) {
+    if (!HasEnded(daemon)) {
+      kill(daemon.m_pid, SIGCONT);
+      kill(daemon.m_pid, SIGKILL);
+    }
+  }
+  for (auto& [name, daemon] : m_daemons) {
+    EndProcess(daemon);
+  }
+  EndProcess(m_minions);
+  EndProcess(m_platform);
+}
+
+Result<void> LocalFleet::Start()
+{
+  BOOST_OUTCOME_TRYV(ReadFiles());
+  std::filesystem::create_directories(m_options.m_folder);
+  m_platform = { "platform-standin",
+                 { Binary("platform-standin"),
+                   "--settings",
+                   WriteFile("platform.json", PlatformSettingsJson()) },
+                 m_options.m_folder + "/platform.log" };
+  m_minions = {
+    "minion-standin",
+    { Binary("minion-standin"), "--settings", WriteFile("minions.json", MinionSettingsJson()) },
+    m_options.m_folder + "/minions.log"
+  };
+  BOOST_OUTCOME_TRYV(StartProcess(m_platform));
+  BOOST_OUTCOME_TRYV(StartProcess(m_minions));
+  const bool areUp = WaitForUrl(m_platformUrl + "/stats", kStartTimeout) &&
+                     WaitForUrl(m_minionControlUrl + "/control/stats", kStartTimeout);
+  if (!areUp) {
+    return Failure("start stand-ins", m_options.m_folder, "no answer; see the logs there");
+  }
+  BOOST_OUTCOME_TRYV(StartDaemons());
+  return ApplyConfiguration();
+}
+
+Result<void> LocalFleet::ReadFiles()
+{
+  BOOST_OUTCOME_TRY(document, LoadJsonFile(m_options.m_configurationFile));
+  ParsedConfiguration parsed = ParseConfigurationDocument(document);
+  m_configuration = std::move(parsed.m_configuration);
+  FieldErrors errors = std::move(parsed.m_errors);
+  BOOST_OUTCOME_TRY(vms, LoadJsonFile(m_options.m_vmsFile));
+  ChooseNetwork();
+  for (const Json& item : vms) {
+    JsonReader reader(item, "", errors);
+    VmListing vm = ReadStandinVm(reader).m_listing;
+    const std::size_t second = vm.m_address.find('.', vm.m_address.find('.') + 1);
+    vm.m_address = m_network + vm.m_address.substr(second);
+    m_vms.push_back(std::move(vm));
+  }
+  if (!errors.empty()) {
+    return Error{ ErrorKind::Invalid, "read example", m_options.m_vmsFile, JoinErrors(errors) };
+  }
+  return boost::outcome_v2::success();
+}
+
+void LocalFleet::ChooseNetwork()
+{
+  for (int octet = kFirstNetwork; octet <= kLastNetwork; ++octet) {
+    const std::string network = fmt::format("127.{}", octet);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(network + ".0.1"), kLockPort);
+    asio::error_code error;
+    m_networkLock = asio::ip::tcp::acceptor(m_context, endpoint.protocol());
+    m_networkLock.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    m_networkLock.bind(endpoint, error);
+    if (!error) {
+      m_networkLock.listen(1, error);
+    }
+    if (!error) {
+      m_network = network;
+      break;
+    }
+  }
+  // The lock must not pass to the processes that are started.
+  fcntl(m_networkLock.native_handle(), F_SETFD, FD_CLOEXEC);
+  m_platformUrl = Url(m_network + ".0.1", kPlatformPort);
+  m_minionControlUrl = Url(m_network + ".0.1", kMinionControlPort);
+}
+
+// --- Settings
+
+Json LocalFleet::EntrySettings(const VmListing& aVm) const
+{
+  const auto listen = [&](std::uint16_t aPort) {
+    return Json{ { "address", aVm.m_address }, { "port", aPort } };
+  };
+  Json settings{ { "node", aVm.m_name },
+                 { "zone", aVm.m_zone },
+                 { "caller", listen(kCallerPort) },
+                 { "forward", listen(kForwardPort) },
+                 { "peer", listen(kPeerPort) },
+                 { "operator", listen(kOperatorPort) },
+                 { "metrics", listen(kMetricsPort) },
+                 { "outbound_address", aVm.m_address },
+                 { "platform", { { "url", m_platformUrl } } } };
+  Json seeds = Json::array();
+  for (const VmListing& other : m_vms) {
+    if (other.m_role == VmRole::Entry && other.m_name != aVm.m_name) {
+      seeds.push_back(Url(other.m_address, kPeerPort));
+    }
+  }
+  settings["seeds"] = std::move(seeds);
+  settings.merge_patch(m_options.m_extraSettings);
+  return settings;
+}
+
+Json LocalFleet::PlatformSettingsJson() const
+{
+  Json vms = Json::array();
+  const std::string control = fmt::format("{}.0.1:{}", m_network, kMinionControlPort);
+  for (const VmListing& vm : m_vms) {
+    Json item{ { "name", vm.m_name },          { "address", vm.m_address },
+               { "zone", vm.m_zone },          { "rack", vm.m_rack },
+               { "role", ToName(vm.m_role) },  { "cores", vm.m_cores },
+               { "memory_mb", vm.m_memoryMb }, { "accelerators", vm.m_accelerators } };
+    if (vm.m_role == VmRole::Target) {
+      item["control"] = control;
+    }
+    vms.push_back(std::move(item));
+  }
+  return Json{ { "address", m_network + ".0.1" }, { "port", kPlatformPort }, { "vms", vms } };
+}
+
+Json LocalFleet::MinionSettingsJson() const
+{
+  const CompiledPointer compiled = CompiledConfiguration::Compile(m_configuration, m_vms);
+  Json minions = Json::array();
+  for (const VmListing& vm : m_vms) {
+    if (vm.m_role != VmRole::Target) {
+      continue;
+    }
+    for (const auto& [name, service] : m_configuration.m_services) {
+      minions.push_back({ { "vm", vm.m_name },
+                          { "service", name },
+                          { "pool", service.m_pool },
+                          { "address", vm.m_address },
+                          { "port", service.m_port },
+                          { "slots", service.m_slots },
+                          { "connections", service.m_connections },
+                          { "run_ms", m_options.m_runTime.count() },
+                          { "running", compiled->PoolOf(vm.m_name) == service.m_pool } });
+    }
+  }
+  return Json{ { "control", { { "address", m_network + ".0.1" }, { "port", kMinionControlPort } } },
+               { "minions", std::move(minions) } };
+}
+
+std::string LocalFleet::WriteFile(const std::string& aName, const Json& aContent) const
+{
+  const std::string path = m_options.m_folder + "/" + aName;
+  std::ofstream(path) << aContent.dump(2) << "\n";
+  return path;
+}
+
+std::string LocalFleet::Binary(const std::string& aName) const
+{
+  return m_options.m_binaries + "/" + aName;
+}
+
+// --- Processes
+
+Result<void> LocalFleet::StartProcess(LocalProcess& aProcess)
+{
+  std::vector<char*> arguments;
+  for (std::string& argument : aProcess.m_command) {
+    arguments.push_back(argument.data());
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, STDERR_FILENO, aProcess.m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  const int error =
+    posix_spawn(&aProcess.m_pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    aProcess.m_pid = 0;
+    return Failure("start process", aProcess.m_name, std::strerror(error));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> LocalFleet::StartDaemons()
+{
+  for (const VmListing& vm : m_vms) {
+    if (vm.m_role != VmRole::Entry) {
+      continue;
+    }
+    m_entryVms.push_back({ vm.m_name,
+                           vm.m_zone,
+                           vm.m_address,
+                           Url(vm.m_address, kCallerPort),
+                           Url(vm.m_address, kPeerPort),
+                           Url(vm.m_address, kOperatorPort),
+                           Url(vm.m_address, kMetricsPort) });
+    const std::string settings = WriteFile(vm.m_name + ".json", EntrySettings(vm));
+    LocalProcess& daemon = m_daemons[vm.m_name];
+    daemon = { vm.m_name,
+               { Binary("mustardtray"), "serve", "--settings", settings },
+               m_options.m_folder + "/" + vm.m_name + ".log" };
+    BOOST_OUTCOME_TRYV(StartProcess(daemon));
+  }
+  for (const LocalEntryVm& entry : m_entryVms) {
+    if (!WaitForUrl(entry.m_metricsUrl + "/healthz", kStartTimeout)) {
+      return Failure("start daemon", entry.m_name, "no answer; see its log");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void> LocalFleet::ApplyConfiguration()
+{
+  asio::io_context context;
+  HttpClient http(context);
+  PlatformClientOptions options;
+  options.m_url = m_platformUrl;
+  PlatformClient platform(context, http, options);
+  TimerService timers(context);
+  std::vector<TimerHandle> waits;
+  ConfigStore<PlatformClient> store(
+    platform, { MonotonicNow, WallNow, [&](Millis aDelay, std::function<void()> aCallback) {
+                 waits.push_back(timers.After(aDelay, std::move(aCallback)));
+               } });
+  ApplyRequest request;
+  request.m_operationId = "local-fleet";
+  request.m_operator = "local-fleet";
+  request.m_document = ToJson(m_configuration);
+  std::optional<ApplyOutcome> outcome;
+  store.Apply(std::move(request), [&](ApplyOutcome aOutcome) { outcome = std::move(aOutcome); });
+  while (!outcome && context.run_one() > 0) {
+  }
+  if (!outcome || outcome->m_status != ApplyStatus::Accepted) {
+    const std::string text = outcome ? ToJson(*outcome).dump() : "no outcome";
+    return Failure("apply configuration", m_platformUrl, text);
+  }
+  return boost::outcome_v2::success();
+}
+
+bool LocalFleet::WaitForUrl(const std::string& aUrl, Millis aTimeout) const
+{
+  return WaitUntil(aTimeout, [&] {
+    HttpCall call;
+    call.m_url = aUrl;
+    const HttpCallResult result = CallAndWait(std::move(call));
+    return result.has_value() && result.value().m_status == 200;
+  });
+}
+
+bool LocalFleet::WaitUntilServing(Millis aTimeout)
+{
+  const TimePoint end = MonotonicNow() + aTimeout;
+  for (const LocalEntryVm& entry : m_entryVms) {
+    if (HasEnded(m_daemons.at(entry.m_name))) {
+      continue;
+    }
+    const Millis left = CeilMillis(std::max(end - MonotonicNow(), Micros(1)));
+    const bool isServing = WaitUntil(left, [&] {
+      HttpCall call;
+      call.m_url = entry.m_metricsUrl + "/readyz";
+      const HttpCallResult result = CallAndWait(std::move(call));
+      return result.has_value() && result.value().m_status == 200;
+    });
+    if (!isServing) {
+      return false;
+    }
+  }
+  return true;
+}
+
+const LocalEntryVm& LocalFleet::EntryVm(const std::string& aName) const
+{
+  return *std::find_if(m_entryVms.begin(), m_entryVms.end(), [&](const LocalEntryVm& aEntry) {
+    return aEntry.m_name == aName;
+  });
+}
+
+std::string LocalFleet::AddressOf(const std::string& aVm) const
+{
+  const auto found = std::find_if(
+    m_vms.begin(), m_vms.end(), [&](const VmListing& aOther) { return aOther.m_name == aVm; });
+  return found == m_vms.end() ? "" : found->m_address;
+}
+
+void LocalFleet::Signal(const std::string& aEntryVm, int aSignal)
+{
+  const LocalProcess& daemon = m_daemons.at(aEntryVm);
+  if (daemon.m_pid != 0) {
+    kill(daemon.m_pid, aSignal);
+  }
+}
+
+bool LocalFleet::WaitForEnd(const std::string& aEntryVm, Millis aTimeout)
+{
+  return WaitUntil(aTimeout, [&] { return HasEnded(m_daemons.at(aEntryVm)); });
+}
+
+Result<void> LocalFleet::Restart(const std::string& aEntryVm)
+{
+  BOOST_OUTCOME_TRYV(StartProcess(m_daemons.at(aEntryVm)));
+  if (!WaitForUrl(EntryVm(aEntryVm).m_metricsUrl + "/healthz", kStartTimeout)) {
+    return Failure("restart daemon", aEntryVm, "no answer; see its log");
+  }
+  return boost::outcome_v2::success();
+}
+
+bool LocalFleet::SetPlatformFaults(const Json& aFaults)
+{
+  const auto answer = PostJson(m_platformUrl + "/faults", aFaults);
+  return answer && answer->m_status == 200;
+}
+
+bool LocalFleet::SetMinionFault(const std::string& aVm, const Json& aFault)
+{
+  const auto answer = PostJson(m_minionControlUrl + "/control/minions/" + aVm, aFault);
+  return answer && answer->m_status == 200;
+}
+
+Json LocalFleet::MinionStats() const
+{
+  HttpCall call;
+  call.m_url = m_minionControlUrl + "/control/stats";
+  const HttpCallResult result = CallAndWait(std::move(call));
+  return result.has_value() ? Json::parse(result.value().m_body, nullptr, false) : Json();
+}
+
+} // namespace mustardtray
