Client: operators' commands, and the operators' interface behind them

Cause: operators had no way to change or to see the configuration.

Ruled out: a client that reads and writes the table itself. It would need the platform's credentials and its own copy of every check.

--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,4 +1,7 @@
-int main()
+#include "client/Command.h"
+
+int main(int aCount, char** aArguments)
 {
-  return 0;
+  // `serve` is dispatched here, before the client's commands.
+  return mustardtray::RunClient(aCount - 1, aArguments + 1);
 }
