--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -11,8 +11,10 @@
 #include "mustardtray/connection/HttpServer.h"
 #include "mustardtray/process/Log.h"
 #include "mustardtray/process/Metrics.h"
+#include "mustardtray/process/OperatorListener.h"
 #include "mustardtray/request/Router.h"
 #include "process/ControlPlane.h"
+#include "process/OperatorHooks.h"
 
 namespace mustardtray {
 
@@ -86,7 +88,10 @@
                [this](const HttpRequest& aRequest, const HttpResponder& aResponder) {
                  HandleHealth(aRequest, aResponder);
                })
+    , m_store(m_control.Platform(), MakeConfigStoreClock(m_controlContext))
+    , m_operators(m_controlContext, m_settings.m_operator, MakeOperatorHooks(m_control, m_store))
     , m_signals(m_controlContext, SIGTERM, SIGINT)
+    , m_reloadSignal(m_controlContext, SIGHUP)
   {
   }
 
@@ -96,6 +101,8 @@
     BOOST_OUTCOME_TRYV(m_forwards.Start());
     BOOST_OUTCOME_TRYV(m_peers.Start());
     BOOST_OUTCOME_TRYV(m_health.Start());
+    BOOST_OUTCOME_TRYV(m_operators.Start(m_control.Timers()));
+    AwaitReload();
     m_signals.async_wait([this](const asio::error_code& aError, int aSignal) {
       if (!aError) {
         BeginDrain(aSignal);
@@ -144,6 +151,16 @@
     }
   }
 
+  void AwaitReload()
+  {
+    m_reloadSignal.async_wait([this](const asio::error_code& aError, int) {
+      if (!aError) {
+        m_operators.Reload();
+        AwaitReload();
+      }
+    });
+  }
+
   void BeginDrain(int aSignal)
   {
     Log(LogCategory::Process, LogLevel::Info, "draining", "signal", aSignal);
@@ -180,7 +197,10 @@
   ControlPlane m_control;
   HttpServer m_peers;
   HttpServer m_health;
+  ConfigStore<PlatformClient> m_store;
+  OperatorListener m_operators;
   asio::signal_set m_signals;
+  asio::signal_set m_reloadSignal;
   TimerHandle m_drainTimer;
   TimePoint m_drainEnd;
 };
--- a/standin/LocalFleet.cpp
+++ b/standin/LocalFleet.cpp
@@ -14,10 +14,7 @@
 #include <fmt/format.h>
 
 #include "mustardtray/connection/HttpClient.h"
-#include "mustardtray/process/ConfigStore.h"
-#include "mustardtray/process/PlatformClient.h"
 #include "mustardtray/process/Settings.h"
-#include "mustardtray/process/TimerService.h"
 #include "mustardtray/version/CompiledConfiguration.h"
 #include "mustardtray/version/ParseConfiguration.h"
 #include "standin/VmFleet.h"
@@ -316,28 +313,18 @@
 
 Result<void> LocalFleet::ApplyConfiguration()
 {
-  asio::io_context context;
-  HttpClient http(context);
-  PlatformClientOptions options;
-  options.m_url = m_platformUrl;
-  PlatformClient platform(context, http, options);
-  TimerService timers(context);
-  std::vector<TimerHandle> waits;
-  ConfigStore<PlatformClient> store(
-    platform, { MonotonicNow, WallNow, [&](Millis aDelay, std::function<void()> aCallback) {
-                 waits.push_back(timers.After(aDelay, std::move(aCallback)));
-               } });
-  ApplyRequest request;
-  request.m_operationId = "local-fleet";
-  request.m_operator = "local-fleet";
-  request.m_document = ToJson(m_configuration);
-  std::optional<ApplyOutcome> outcome;
-  store.Apply(std::move(request), [&](ApplyOutcome aOutcome) { outcome = std::move(aOutcome); });
-  while (!outcome && context.run_one() > 0) {
-  }
-  if (!outcome || outcome->m_status != ApplyStatus::Accepted) {
-    const std::string text = outcome ? ToJson(*outcome).dump() : "no outcome";
-    return Failure("apply configuration", m_platformUrl, text);
+  LocalProcess client{ "client",
+                       { Binary("mustardtray"),
+                         "apply",
+                         m_options.m_configurationFile,
+                         "--operator",
+                         m_entryVms.front().m_operatorUrl },
+                       m_options.m_folder + "/apply.log" };
+  BOOST_OUTCOME_TRYV(StartProcess(client));
+  int status = 0;
+  waitpid(client.m_pid, &status, 0);
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
+    return Failure("apply configuration", m_options.m_configurationFile, "see apply.log");
   }
   return boost::outcome_v2::success();
 }
