--- a/standin/Minion.cpp
+++ b/standin/Minion.cpp
@@ -46,6 +46,17 @@
   return mark && *mark == "1";
 }
 
+/// What a foreign answer belongs to when the minion has answered nothing yet.
+HttpRequest ForeignRequest()
+{
+  HttpRequest request;
+  request.m_method = "GET";
+  request.m_path = "/foreign";
+  request.m_headers = { { std::string(kRequestIdHeader), "foreign" } };
+  request.m_body = "foreign";
+  return request;
+}
+
 } // namespace
 
 MinionSettings ReadMinionSettings(JsonReader& aReader)
@@ -60,6 +71,8 @@
   settings.m_connections =
     static_cast<int>(aReader.Integer("connections", settings.m_connections, 1, 100'000));
   settings.m_run = aReader.Duration("run_ms", settings.m_run, Millis(0), Millis(kMaxRunMs));
+  settings.m_leavingGrace =
+    aReader.Duration("leaving_grace_ms", settings.m_leavingGrace, Millis(0), Millis(kMaxRunMs));
   settings.m_running = aReader.Bool("running", true);
   return settings;
 }
@@ -188,7 +201,7 @@
 void Minion::Arrive(const Exchange& aExchange)
 {
   ++m_counts.m_requests;
-  if (m_leavingSince && MonotonicNow() - *m_leavingSince > kLeavingGrace) {
+  if (m_leavingSince && MonotonicNow() - *m_leavingSince > m_settings.m_leavingGrace) {
     ++m_counts.m_lateArrivals;
   }
   if (m_fault.m_kind == FaultKind::Freeze) {
@@ -319,8 +332,7 @@
       });
       break;
     case FaultKind::ForeignAnswer:
-      exchange.Answer(
-        m_lastAnswer.value_or(AnswerTo({ "GET", "/foreign", "", {}, "foreign", "" })));
+      exchange.Answer(m_lastAnswer ? *m_lastAnswer : AnswerTo(ForeignRequest()));
       break;
     default:
       exchange.Answer(answer);
--- a/standin/Minion.h
+++ b/standin/Minion.h
@@ -69,8 +69,9 @@
   std::uint16_t m_port = 0;
   int m_slots = 8;
   int m_connections = 64;
-  Millis m_run{ 10 };    ///< Length of a run whose request does not say.
-  bool m_running = true; ///< Runs from the start.
+  Millis m_run{ 10 };             ///< Length of a run whose request does not say.
+  Millis m_leavingGrace{ 3'000 }; ///< Requests after this time of leaving are late.
+  bool m_running = true;          ///< Runs from the start.
 };
 
 MinionSettings ReadMinionSettings(JsonReader& aReader);
@@ -116,9 +117,6 @@
   /// Ends at once: connections are reset, runs are lost.
   void Kill();
 
-  /// A leaving minion counts requests as late after this time.
-  static constexpr Millis kLeavingGrace{ 3'000 };
-
 private:
   struct Run;
   using Exchange = std::shared_ptr<StandinExchange>;
--- a/tests/process/PlatformClientTest.cpp
+++ b/tests/process/PlatformClientTest.cpp
@@ -227,13 +227,41 @@
   CHECK(kind.get_future().get() == ErrorKind::Unavailable);
 }
 
+TEST_CASE("PlatformClient gives up on a slow platform, and on calls that wait too long for it")
+{
+  PlatformClientOptions options;
+  options.m_maxInFlight = 1;
+  options.m_readTimeout = Millis(50);
+  options.m_writeTimeout = Millis(50);
+  options.m_queueTimeout = Millis(10);
+  Deployment deployment("", options);
+  deployment.SetFaults({ { "slow_ms", 60'000 } });
+  CHECK(deployment.Transact(WriteOf("a", 0, 1)).error().m_kind == ErrorKind::Unknown);
+  using Errors = std::vector<Error>;
+  auto errors =
+    deployment.Begin<Errors>([](PlatformClient& aClient, const Callback<Errors>& aDone) {
+      const auto seen = std::make_shared<Errors>();
+      for (int i = 0; i < 2; ++i) {
+        aClient.Read({ "a" }, [=](const Result<std::vector<Row>>& aRows) {
+          seen->push_back(aRows.error());
+          if (seen->size() == 2) {
+            aDone(*seen);
+          }
+        });
+      }
+    });
+  const Errors seen = errors.get().value();
+  CHECK(seen[0].m_kind == ErrorKind::Unavailable);
+  CHECK(seen[1].m_kind == ErrorKind::Unavailable);
+  CHECK(seen[1].m_message == "waited too long for other calls to the platform");
+}
+
 TEST_CASE("PlatformClient bounds the calls in flight and in the queue")
 {
   PlatformClientOptions options;
   options.m_maxInFlight = 1;
   options.m_maxQueued = 1;
   Deployment deployment("", options);
-  std::vector<std::future<Result<std::vector<Row>>>> reads;
   auto all = deployment.Begin<int>([&](PlatformClient& aClient, const Callback<int>& aDone) {
     const auto left = std::make_shared<int>(2);
     const auto refused = std::make_shared<int>(0);
--- a/tests/standin/MinionStandinTest.cpp
+++ b/tests/standin/MinionStandinTest.cpp
@@ -29,6 +29,7 @@
     minion.m_service = "bookings";
     minion.m_slots = 1;
     minion.m_run = Millis(0);
+    minion.m_leavingGrace = Millis(0);
     settings.m_minions.push_back(minion);
     m_thread.Run([&] {
       m_standin = std::make_unique<MinionStandin>(m_thread.Context(), settings);
@@ -166,6 +167,9 @@
   Host host;
   HttpCall call = host.Request("w1");
   call.m_freshConnection = true;
+  call.m_headers.push_back({ "Mustardtray-Request-Id", "r1" });
+  host.SetFault("foreign-answer");
+  CHECK(*CallAndWait(call).value().Header("Mustardtray-Request-Id") == "foreign");
   host.SetFault("fail");
   CHECK(CallAndWait(call).value().m_status == 500);
   host.SetFault("refuse");
@@ -184,7 +188,7 @@
   host.AwaitCount("kills", 1);
   CHECK(CallAndWait(call).error().m_notSent);
   const Json stats = host.Stats();
-  CHECK(stats["work"]["runs"] == 6);
+  CHECK(stats["work"]["runs"] == 7);
   CHECK(stats["refused"] == 1);
 }
 
@@ -223,6 +227,18 @@
   CHECK(frozen.get().value().m_status == 503);
 }
 
+TEST_CASE("Minion stand-in counts requests that come after it was leaving")
+{
+  Host host;
+  CHECK(CallAndWait(host.Request("w1")));
+  host.Control("POST", "/minions/vm1/leaving");
+  CHECK(CallAndWait(host.Request("w2")));
+  CHECK(host.Stats()["late_arrivals"] == 1);
+  host.Control("POST", "/minions/vm1/leaving", { { "on", false } });
+  CHECK(CallAndWait(host.Request("w3")));
+  CHECK(host.Stats()["late_arrivals"] == 1);
+}
+
 TEST_CASE("Minion stand-in loses its runs when it is killed")
 {
   Host host;
