Process: claim partitions of the keys, and end-to-end failure tests

Cause: the control plane never told the key partitions who their members are, so no partition had an owner and every keyed request was answered unknown (37,632 of 37,632 in the outage test). Ruled out: the mint floor and unreachable owners; the log showed owner="". Readiness now also needs slots of its own or a peer with room.

--- a/src/process/ControlPlane.cpp
+++ b/src/process/ControlPlane.cpp
@@ -121,6 +121,7 @@
   } else if (IsIdle()) {
     m_shares->Leave();
   }
+  m_keys->Partitions().OnMembers(KeyMembers(), MonotonicNow());
   m_keys->Tick(m_goneWatch);
   if (m_configuration && m_reports->IsWritten()) {
     m_fleet.Tick(MonotonicNow(), WallNow());
@@ -149,6 +150,22 @@
   return heard;
 }
 
+std::vector<NodeIncarnation> ControlPlane::KeyMembers() const
+{
+  std::vector<NodeIncarnation> members;
+  if (!m_isLeaving) {
+    members.push_back(m_self.m_id);
+  }
+  for (const auto& [node, peer] : m_peers.All()) {
+    const bool mayOwn =
+      peer.m_info.m_id.m_incarnation > 0 && peer.m_info.m_region == m_self.m_region;
+    if (mayOwn && m_peers.IsAlive(MonotonicNow(), peer)) {
+      members.push_back(peer.m_info.m_id);
+    }
+  }
+  return members;
+}
+
 Micros ControlPlane::LongestRun() const
 {
   Millis longest{ 0 };
@@ -333,7 +350,16 @@
 
 bool ControlPlane::IsReady() const
 {
-  return m_configuration != nullptr && !m_isLeaving;
+  if (!m_configuration || m_isLeaving) {
+    return false;
+  }
+  for (const auto& [service, load] : m_traffic.m_loads) {
+    if (load.m_slots > 0) {
+      return true;
+    }
+  }
+  const RoutingPointer& applied = m_traffic.m_applied;
+  return applied && !applied->m_rooms.empty();
 }
 
 } // namespace mustardtray
--- a/src/process/ControlPlane.h
+++ b/src/process/ControlPlane.h
@@ -55,7 +55,8 @@
   bool IsReleased() const;
   /// No request waits for its answer, as of a report made after BeginShutdown().
   bool IsIdle() const { return m_reportsSinceLeaving > 1 && m_traffic.m_active == 0; }
-  /// Whether this node can serve: it has a configuration and takes new requests.
+  /// Whether callers may be sent here: it has a configuration, does not leave, and has slots of
+  /// its own or knows an entry VM with room.
   bool IsReady() const;
 
   void OnTrafficReport(TrafficReport aReport);
@@ -81,6 +82,8 @@
   void PublishRouting();
   void ListVms();
   std::set<std::string> HeardLately() const;
+  /// Daemons of this region that may own partitions of the keys now.
+  std::vector<NodeIncarnation> KeyMembers() const;
   Micros LongestRun() const;
 
   asio::io_context& m_context;
--- /dev/null
+++ b/standin/LoadGenerator.cpp
@@ -0,0 +1,238 @@
+#include "standin/LoadGenerator.h"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+#include <asio/io_context.hpp>
+#include <fmt/format.h>
+
+#include "mustardtray/process/JsonReader.h"
+#include "mustardtray/process/TimerService.h"
+#include "mustardtray/request/IdempotencyKey.h"
+
+namespace mustardtray {
+
+namespace {
+
+constexpr Millis kDuringPeriod{ 50 };
+
+/// One load while it runs.
+class RunningLoad
+{
+public:
+  RunningLoad(asio::io_context& aContext, const LoadOptions& aOptions)
+    : m_options(aOptions)
+    , m_timers(aContext)
+    , m_client(aContext)
+    , m_random(std::random_device{}())
+  {
+  }
+
+  void Start()
+  {
+    m_start = MonotonicNow();
+    m_result.m_samples.reserve(m_options.m_count *
+                               static_cast<std::size_t>(m_options.m_sendsPerKey));
+    SendDue();
+  }
+
+  bool IsDone() const { return m_sent == m_options.m_count && m_underWay == 0; }
+  LoadResult Take()
+  {
+    m_result.m_elapsed = MonotonicNow() - m_start;
+    return std::move(m_result);
+  }
+
+private:
+  void SendDue()
+  {
+    const double elapsed = std::chrono::duration<double>(MonotonicNow() - m_start).count();
+    const auto due = static_cast<std::size_t>(elapsed * m_options.m_perSecond) + 1;
+    while (m_sent < std::min(due, m_options.m_count)) {
+      SendOne(m_sent++);
+    }
+    if (m_sent < m_options.m_count) {
+      const double next = static_cast<double>(m_sent) / m_options.m_perSecond - elapsed;
+      const Micros delay(static_cast<std::int64_t>(std::max(next, 0.0) * 1e6));
+      m_timer = m_timers.After(delay, [this] { SendDue(); });
+    }
+  }
+
+  void SendOne(std::size_t aNumber)
+  {
+    const std::string workId = fmt::format("{}-{}", m_options.m_prefix, aNumber);
+    const std::string key =
+      m_options.m_isKeyed ? MintIdempotencyKey(WallNow(), m_random(), m_random()).Text() : "";
+    for (int send = 0; send < m_options.m_sendsPerKey; ++send) {
+      ++m_underWay;
+      const std::size_t target = aNumber + static_cast<std::size_t>(send);
+      if (send == 0) {
+        Send(workId, key, target);
+        continue;
+      }
+      m_resends.push_back(
+        m_timers.After(m_options.m_resendAfter * send,
+                       [this, workId, key, target] { Send(workId, key, target); }));
+    }
+  }
+
+  HttpCall MakeCall(const std::string& aWorkId, const std::string& aKey, std::size_t aTarget) const
+  {
+    HttpCall call;
+    call.m_method = m_options.m_method;
+    call.m_url = m_options.m_urls[aTarget % m_options.m_urls.size()] + m_options.m_path;
+    call.m_headers.push_back({ "Standin-Work-Id", aWorkId });
+    if (m_options.m_isIdempotent) {
+      call.m_headers.push_back({ "Standin-Idempotent", "1" });
+    }
+    if (m_options.m_runTime >= Millis(0)) {
+      call.m_headers.push_back({ "Standin-Run-Ms", std::to_string(m_options.m_runTime.count()) });
+    }
+    if (!aKey.empty()) {
+      call.m_headers.push_back({ std::string(kIdempotencyKeyHeader), aKey });
+    }
+    if (m_options.m_method != "GET") {
+      call.m_body = aWorkId + std::string(m_options.m_bodyBytes, '.');
+    }
+    call.m_freshConnection = m_options.m_freshConnections;
+    call.m_timeout = m_options.m_timeout;
+    return call;
+  }
+
+  void Send(const std::string& aWorkId, const std::string& aKey, std::size_t aTarget)
+  {
+    HttpCall call = MakeCall(aWorkId, aKey, aTarget);
+    m_client.Start(
+      std::move(call),
+      [this, aWorkId, body = call.m_body, sent = MonotonicNow()](const HttpCallResult& aResult) {
+        --m_underWay;
+        m_result.m_samples.push_back(MakeSample(aWorkId, aResult, MonotonicNow() - sent));
+      });
+  }
+
+  LoadSample MakeSample(const std::string& aWorkId,
+                        const HttpCallResult& aResult,
+                        Micros aTime) const
+  {
+    LoadSample sample{ aWorkId, LoadOutcome::Failed, 0, false, aTime, {} };
+    if (aResult.has_error()) {
+      sample.m_reason = aResult.error().m_error.m_message;
+      return sample;
+    }
+    const HttpResponse& response = aResult.value();
+    sample.m_status = response.m_status;
+    const std::string* outcome = response.Header("Mustardtray-Outcome");
+    if (!outcome) {
+      sample.m_outcome = LoadOutcome::Answered;
+      sample.m_isOwn = IsOwn(aWorkId, response);
+      return sample;
+    }
+    sample.m_outcome = *outcome == "not-run" ? LoadOutcome::NotRun : LoadOutcome::Unknown;
+    const Json body = Json::parse(response.m_body, nullptr, false);
+    sample.m_reason = body.is_object() ? body.value("reason", "") : "";
+    return sample;
+  }
+
+  /// The minions' stand-in echoes the work id and the body.
+  bool IsOwn(const std::string& aWorkId, const HttpResponse& aResponse) const
+  {
+    const std::string* echoed = aResponse.Header("Standin-Work-Id");
+    const std::size_t bodyBytes =
+      m_options.m_method == "GET" ? 0 : aWorkId.size() + m_options.m_bodyBytes;
+    return echoed && *echoed == aWorkId && aResponse.m_body.size() == bodyBytes;
+  }
+
+  LoadOptions m_options;
+  TimerService m_timers;
+  HttpClient m_client;
+  std::mt19937_64 m_random;
+  TimePoint m_start;
+  TimerHandle m_timer;
+  std::vector<TimerHandle> m_resends;
+  std::size_t m_sent = 0;
+  std::size_t m_underWay = 0;
+  LoadResult m_result;
+};
+
+} // namespace
+
+std::size_t LoadResult::Count(LoadOutcome aOutcome) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_samples.begin(), m_samples.end(), [&](const LoadSample& aSample) {
+      return aSample.m_outcome == aOutcome;
+    }));
+}
+
+std::size_t LoadResult::CountForeign() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_samples.begin(), m_samples.end(), [](const LoadSample& aSample) {
+      return aSample.m_outcome == LoadOutcome::Answered && aSample.m_status == 200 &&
+             !aSample.m_isOwn;
+    }));
+}
+
+Micros LoadResult::Quantile(double aPart) const
+{
+  std::vector<Micros> times;
+  for (const LoadSample& sample : m_samples) {
+    if (sample.m_outcome == LoadOutcome::Answered) {
+      times.push_back(sample.m_time);
+    }
+  }
+  if (times.empty()) {
+    return Micros(0);
+  }
+  std::sort(times.begin(), times.end());
+  return times[static_cast<std::size_t>(aPart * static_cast<double>(times.size() - 1))];
+}
+
+std::map<std::string, std::size_t> LoadResult::Reasons() const
+{
+  std::map<std::string, std::size_t> reasons;
+  for (const LoadSample& sample : m_samples) {
+    if (!sample.m_reason.empty()) {
+      ++reasons[sample.m_reason];
+    }
+  }
+  return reasons;
+}
+
+std::vector<LoadResult> RunLoads(const std::vector<LoadOptions>& aOptions,
+                                 const std::function<void(Micros)>& aDuring)
+{
+  asio::io_context context(1);
+  TimerService timers(context);
+  std::vector<std::unique_ptr<RunningLoad>> loads;
+  for (const LoadOptions& options : aOptions) {
+    loads.push_back(std::make_unique<RunningLoad>(context, options));
+    loads.back()->Start();
+  }
+  const TimePoint start = MonotonicNow();
+  const TimerHandle during = timers.Every(kDuringPeriod, 0, [&] {
+    if (aDuring) {
+      aDuring(MonotonicNow() - start);
+    }
+  });
+  const auto isRunning = [&] {
+    return std::any_of(
+      loads.begin(), loads.end(), [](const auto& aLoad) { return !aLoad->IsDone(); });
+  };
+  while (isRunning()) {
+    context.run_one();
+  }
+  std::vector<LoadResult> results;
+  for (const auto& load : loads) {
+    results.push_back(load->Take());
+  }
+  return results;
+}
+
+LoadResult RunLoad(const LoadOptions& aOptions)
+{
+  return std::move(RunLoads({ aOptions }).front());
+}
+
+} // namespace mustardtray
--- /dev/null
+++ b/tests/end_to_end/FleetFixture.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// A small fleet of real processes for one test case: two availability zones with two entry VMs
+/// each, one service with urgent, may-wait, idempotent and other queues.
+
+#include <filesystem>
+
+#include <doctest/doctest.h>
+
+#include "standin/LoadGenerator.h"
+#include "standin/LocalFleet.h"
+
+namespace mustardtray::test {
+
+class FleetFixture
+{
+public:
+  explicit FleetFixture(const std::string& aName, Json aExtraSettings = Json::object())
+    : m_fleet(Options(aName, std::move(aExtraSettings)))
+  {
+    const Result<void> started = m_fleet.Start();
+    REQUIRE_MESSAGE(started.has_value(), (started.has_error() ? started.error().Text() : ""));
+    REQUIRE(m_fleet.WaitUntilServing(Millis(20'000)));
+    // Shares are granted when every member of a zone has acknowledged the others.
+    REQUIRE(WaitUntil(Millis(20'000), [&] { return EverybodyServes(); }));
+  }
+
+  LocalFleet& Fleet() { return m_fleet; }
+
+  std::vector<std::string> CallerUrls() const
+  {
+    std::vector<std::string> urls;
+    for (const LocalEntryVm& entry : m_fleet.EntryVms()) {
+      urls.push_back(entry.m_callerUrl);
+    }
+    return urls;
+  }
+
+  /// A load on one queue of the service, over all entry VMs.
+  LoadOptions Load(const std::string& aPrefix,
+                   const std::string& aMethod,
+                   const std::string& aQueue)
+  {
+    LoadOptions load;
+    load.m_urls = CallerUrls();
+    load.m_prefix = aPrefix;
+    load.m_method = aMethod;
+    load.m_path = "/orders/" + aQueue;
+    load.m_isIdempotent = aMethod == "GET";
+    return load;
+  }
+
+  std::size_t Stat(const std::string& aName) const
+  {
+    return m_fleet.MinionStats().at(aName).get<std::size_t>();
+  }
+  std::size_t WorkStat(const std::string& aName) const
+  {
+    return m_fleet.MinionStats().at("work").at(aName).get<std::size_t>();
+  }
+
+private:
+  static LocalFleetOptions Options(const std::string& aName, Json aExtraSettings)
+  {
+    LocalFleetOptions options;
+    options.m_binaries = BINARIES;
+    options.m_configurationFile = SOURCES "/tests/end_to_end/fleet.json";
+    options.m_vmsFile = SOURCES "/tests/end_to_end/fleet-vms.json";
+    options.m_folder = BINARIES "/end-to-end/" + aName;
+    options.m_extraSettings = std::move(aExtraSettings);
+    std::filesystem::remove_all(options.m_folder);
+    return options;
+  }
+
+  bool EverybodyServes()
+  {
+    for (const LocalEntryVm& entry : m_fleet.EntryVms()) {
+      LoadOptions probe = Load("warm-up-" + entry.m_name, "GET", "look-up");
+      probe.m_urls = { entry.m_callerUrl };
+      probe.m_count = 1;
+      if (RunLoad(probe).Count(LoadOutcome::Answered) != 1) {
+        return false;
+      }
+    }
+    LoadOptions keyed = Load("warm-up-keys-" + std::to_string(++m_warmUps), "POST", "place");
+    keyed.m_isKeyed = true;
+    keyed.m_count = kWarmUpKeys;
+    keyed.m_perSecond = 1'000;
+    return RunLoad(keyed).Count(LoadOutcome::Answered) == kWarmUpKeys;
+  }
+
+  /// Enough to meet nearly every partition of the keys.
+  static constexpr std::size_t kWarmUpKeys = 256;
+
+  LocalFleet m_fleet;
+  int m_warmUps = 0;
+};
+
+} // namespace mustardtray::test
--- /dev/null
+++ b/tests/end_to_end/RoutingFailureTest.cpp
@@ -0,0 +1,179 @@
+/// Failures on the path of a request, with real processes.
+
+#include "tests/end_to_end/FleetFixture.h"
+
+using namespace mustardtray;
+using namespace mustardtray::test;
+
+namespace {
+
+/// What holds at the end of every load, whatever failed.
+void CheckMinionAccounts(const FleetFixture& aFixture)
+{
+  CHECK(aFixture.Stat("slot_violations") == 0);
+  CHECK(aFixture.Stat("minions_over_connections") == 0);
+  CHECK(aFixture.WorkStat("double_runs") == 0);
+}
+
+/// For messages of failed checks.
+std::string Text(const LoadResult& aResult)
+{
+  std::string text = "answered " + std::to_string(aResult.Count(LoadOutcome::Answered));
+  for (const auto& [reason, count] : aResult.Reasons()) {
+    text += "; " + reason + " " + std::to_string(count);
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("Every caller gets the whole answer to its own request, through any entry VM")
+{
+  FleetFixture fixture("own-answers");
+  LoadOptions place = fixture.Load("place", "POST", "place");
+  place.m_count = 600;
+  place.m_perSecond = 300;
+  place.m_bodyBytes = 20'000;
+  LoadOptions lookUp = fixture.Load("look-up", "GET", "look-up");
+  lookUp.m_count = 600;
+  lookUp.m_perSecond = 300;
+  const auto results = RunLoads({ place, lookUp });
+  for (const LoadResult& result : results) {
+    CHECK(result.Count(LoadOutcome::Answered) == 600);
+    CHECK(result.CountForeign() == 0);
+  }
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("A minion that loses answers runs a request that is not idempotent at most once")
+{
+  FleetFixture fixture("lost-answers");
+  for (const std::string fault :
+       { "close-after-read", "short-answer", "die-mid-answer", "foreign-answer" }) {
+    CAPTURE(fault);
+    REQUIRE(fixture.Fleet().SetMinionFault("a-t1", Json{ { "fault", fault } }));
+    LoadOptions place = fixture.Load("place-" + fault, "POST", "place");
+    place.m_count = 200;
+    place.m_perSecond = 400;
+    const LoadResult placed = RunLoad(place);
+    CHECK(placed.CountForeign() == 0);
+    CHECK(placed.Count(LoadOutcome::Failed) == 0);
+    REQUIRE(fixture.Fleet().SetMinionFault("a-t1", Json{ { "fault", "none" } }));
+  }
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("Requests refused as not run did not run, also in a flood")
+{
+  FleetFixture fixture("flood");
+  const std::size_t workBefore = fixture.WorkStat("distinct_work");
+  LoadOptions flood = fixture.Load("flood", "POST", "change");
+  flood.m_count = 6'000;
+  flood.m_perSecond = 3'000;
+  flood.m_runTime = Millis(100);
+  LoadOptions urgent = fixture.Load("urgent", "POST", "place");
+  urgent.m_count = 200;
+  urgent.m_perSecond = 100;
+  const auto results = RunLoads({ flood, urgent });
+  CHECK(results[0].Count(LoadOutcome::NotRun) > 0);
+  CHECK(results[1].Count(LoadOutcome::Answered) == 200);
+  std::size_t refused = 0;
+  for (const LoadResult& result : results) {
+    CHECK(result.Count(LoadOutcome::Unknown) == 0);
+    refused += result.Count(LoadOutcome::NotRun);
+  }
+  const std::size_t sent = results[0].m_samples.size() + results[1].m_samples.size();
+  CHECK(fixture.WorkStat("distinct_work") - workBefore == sent - refused);
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("A key sent through three entry VMs runs once, also when one is killed in between")
+{
+  FleetFixture fixture("keys");
+  LoadOptions place = fixture.Load("keyed", "POST", "place");
+  place.m_count = 600;
+  place.m_perSecond = 150;
+  place.m_isKeyed = true;
+  place.m_sendsPerKey = 3;
+  place.m_resendAfter = Millis(30);
+  place.m_runTime = Millis(20);
+  bool isKilled = false;
+  const auto results = RunLoads({ place }, [&](Micros aElapsed) {
+    if (!isKilled && aElapsed > Millis(2'000)) {
+      fixture.Fleet().Signal("a-e1", SIGKILL);
+      isKilled = true;
+    }
+  });
+  CAPTURE(Text(results[0]));
+  CHECK(isKilled);
+  CHECK(results[0].Count(LoadOutcome::Answered) > 0);
+  CHECK(results[0].CountForeign() == 0);
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("A frozen entry VM doubles nothing and holds no other up")
+{
+  FleetFixture fixture("frozen");
+  LoadOptions place = fixture.Load("keyed", "POST", "place");
+  place.m_count = 600;
+  place.m_perSecond = 150;
+  place.m_isKeyed = true;
+  place.m_sendsPerKey = 2;
+  place.m_runTime = Millis(20);
+  const auto results = RunLoads({ place }, [&, step = 0](Micros aElapsed) mutable {
+    if (step == 0 && aElapsed > Millis(1'000)) {
+      fixture.Fleet().Signal("b-e1", SIGSTOP);
+      step = 1;
+    }
+    if (step == 1 && aElapsed > Millis(3'000)) {
+      fixture.Fleet().Signal("b-e1", SIGCONT);
+      step = 2;
+    }
+  });
+  CAPTURE(Text(results[0]));
+  CHECK(results[0].Count(LoadOutcome::Answered) > results[0].m_samples.size() / 2);
+  CHECK(results[0].CountForeign() == 0);
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE(
+  "An entry VM that is told to stop finishes what is in flight and is joined by its next run")
+{
+  FleetFixture fixture("restart");
+  LoadOptions place = fixture.Load("place", "POST", "place");
+  place.m_urls = { fixture.Fleet().EntryVm("a-e1").m_callerUrl };
+  place.m_count = 20;
+  place.m_perSecond = 1'000;
+  place.m_runTime = Millis(500);
+  bool isStopped = false;
+  const auto results = RunLoads({ place }, [&](Micros aElapsed) {
+    if (!isStopped && aElapsed > Millis(200)) {
+      fixture.Fleet().Signal("a-e1", SIGTERM);
+      isStopped = true;
+    }
+  });
+  CHECK(results[0].Count(LoadOutcome::Answered) == 20);
+  CHECK(fixture.Fleet().WaitForEnd("a-e1", Millis(15'000)));
+  REQUIRE(fixture.Fleet().Restart("a-e1").has_value());
+  REQUIRE(fixture.Fleet().WaitUntilServing(Millis(15'000)));
+  LoadOptions lookUp = fixture.Load("look-up", "GET", "look-up");
+  lookUp.m_urls = place.m_urls;
+  const LoadResult lookedUp = RunLoad(lookUp);
+  CAPTURE(Text(lookedUp));
+  CHECK(lookedUp.Count(LoadOutcome::Answered) == 100);
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("Serving goes on through an outage of the platform")
+{
+  FleetFixture fixture("outage");
+  REQUIRE(fixture.Fleet().SetPlatformFaults(Json{ { "down", "close" } }));
+  LoadOptions place = fixture.Load("place", "POST", "place");
+  place.m_count = 800;
+  place.m_perSecond = 200;
+  place.m_isKeyed = true;
+  const LoadResult placed = RunLoad(place);
+  CAPTURE(Text(placed));
+  CHECK(placed.Count(LoadOutcome::Answered) == 800);
+  CheckMinionAccounts(fixture);
+}
