Request: admit may-wait work by its floor while urgent work fills its queue

Cause: the expected wait of may-wait work counted all urgent work ahead at the speed of the floor, so in an urgent flood nearly all was refused and the floor stood unused. The wait is now at most the queue's own work at the speed of its floor. The new unit test failed before.

--- a/src/request/RequestQueue.cpp
+++ b/src/request/RequestQueue.cpp
@@ -150,10 +150,13 @@
     return Micros(0);
   }
   const int withheld = aQueue.IsUrgent() ? 0 : std::max(RunningUrgent(), aReserve);
-  const double floorSlots = aQueue.m_config.m_floorShare * aSlots.m_total;
-  const double usable = std::max({ 1.0 * (aSlots.m_total - withheld), floorSlots, 1.0 });
-  const auto work = static_cast<double>(WorkAhead(aNow, aQueue).count());
-  return Micros(static_cast<Micros::rep>(work / usable));
+  const Micros wait = WorkAhead(aNow, aQueue) / std::max(aSlots.m_total - withheld, 1);
+  const double floorSlots = aQueue.IsUrgent() ? 0 : aQueue.m_config.m_floorShare * aSlots.m_total;
+  if (floorSlots == 0) {
+    return wait;
+  }
+  const Seconds ownWork = (aQueue.Waiting() + 1) * aQueue.m_run.Mean(aNow);
+  return std::min(wait, std::chrono::duration_cast<Micros>(ownWork / floorSlots));
 }
 
 } // namespace mustardtray
--- a/tests/request/SchedulerTest.cpp
+++ b/tests/request/SchedulerTest.cpp
@@ -287,6 +287,17 @@
   CHECK(started[kMayWait] / all <= 0.25 * 1.1);
 }
 
+TEST_CASE("Scheduler admits work that may wait by its floor when urgent work fills its queue")
+{
+  Bench bench;
+  for (int i = 0; i < 160; ++i) {
+    bench.Offer(kUrgent);
+  }
+  REQUIRE(bench.Start() == 8);
+  // Two of eight slots do 20 requests of 100 ms a second, whatever urgent work is ahead.
+  CHECK(!bench.Offer(kMayWait, true, 1s));
+}
+
 TEST_CASE("Scheduler holds slots back for urgent work only while it comes")
 {
   Bench bench;
