--- a/src/request/UrgentReserve.cpp
+++ b/src/request/UrgentReserve.cpp
@@ -9,7 +9,7 @@
 
 constexpr double kSlotsPerBlockedArrival = 1;
 constexpr double kFixedShare = 0.25;
-constexpr std::chrono::duration<double> kDecayTime{ 10 };
+constexpr std::chrono::duration<double> kDecayTime{ 4 };
 
 } // namespace
 
