--- a/bench/FloodReport.cpp
+++ b/bench/FloodReport.cpp
@@ -61,13 +61,15 @@
   return least;
 }
 
-/// Slot-seconds that a queue gets during the flood from its floor alone.
-double OwedByFloor(const QueueResult& aQueue, double aFloorSlots)
+/// Slot-seconds that a queue gets during the flood from its floor alone. Work that cannot start
+/// before its deadline at that speed is not owed.
+double OwedByFloor(const QueueResult& aQueue, double aFloorSlots, Millis aDeadline)
 {
+  const double mostBacklog = aFloorSlots * std::chrono::duration<double>(aDeadline).count();
   double backlog = 0;
   double owed = 0;
   for (const double asked : aQueue.m_askedInFlood) {
-    backlog += asked;
+    backlog = std::min(backlog + asked, mostBacklog);
     const double served = std::min(backlog, aFloorSlots);
     backlog -= served;
     owed += served;
@@ -84,7 +86,8 @@
       continue;
     }
     const QueueResult& queue = aFlood.m_queues[q];
-    const double owed = OwedByFloor(queue, config.m_floorShare * aService.Slots());
+    const double floorSlots = config.m_floorShare * aService.Slots();
+    const double owed = OwedByFloor(queue, floorSlots, config.m_deadline);
     least = std::min(least, Ratio(queue.m_servedInFlood, owed));
   }
   return least;
