Request: offer unused floors to other entry VMs

Cause: floors are per entry VM, and arrivals do not follow their sizes: small ones refused may-wait work in an urgent flood while floors of larger ones stood unused, because the load told to peers counted free slots only. Ruled out: the measure itself (its owed work is bounded by the deadline since the last commit). The new unit test fails without the change.

--- a/include/mustardtray/request/RequestQueue.h
+++ b/include/mustardtray/request/RequestQueue.h
@@ -83,6 +83,8 @@
   std::vector<RequestQueue*> Order(QueueOrder aOrder, int aTotalSlots) const;
   bool MayUseSlot(const RequestQueue& aQueue, const SlotCount& aSlots, int aReserve) const;
 
+  /// Slots that queues without waiting requests could claim by their floors.
+  int FloorRoom(int aTotalSlots) const;
   /// May-wait requests that run beyond the floors of their queues.
   int MayWaitBeyondFloor(int aTotalSlots) const;
   /// Time until a request that joins the queue now would start, by measured run times.
--- a/src/request/RequestQueue.cpp
+++ b/src/request/RequestQueue.cpp
@@ -114,6 +114,18 @@
   return beyond;
 }
 
+int QueueSet::FloorRoom(int aTotalSlots) const
+{
+  int room = 0;
+  for (const auto& queue : m_queues) {
+    if (queue->m_waiting.empty() && IsFloorDue(*queue, aTotalSlots)) {
+      const double floorSlots = std::ceil(queue->m_config.m_floorShare * aTotalSlots);
+      room += static_cast<int>(floorSlots) - queue->m_running;
+    }
+  }
+  return room;
+}
+
 int QueueSet::RunningUrgent() const
 {
   int running = 0;
--- a/src/request/Scheduler.cpp
+++ b/src/request/Scheduler.cpp
@@ -439,7 +439,8 @@
   load.m_meanRun = running == 0 ? Micros(0) : work / running;
   load.m_freeUrgent = std::max(0, slots.m_free - load.m_queuedUrgent);
   const int queued = load.m_queuedUrgent + load.m_queuedMayWait;
-  load.m_freeMayWait = std::max(0, slots.m_free - load.m_reserve - queued);
+  const int beyondReserve = slots.m_free - load.m_reserve - queued;
+  load.m_freeMayWait = std::max(beyondReserve, m_queues.FloorRoom(slots.m_total));
   return load;
 }
 
--- a/tests/request/SchedulerTest.cpp
+++ b/tests/request/SchedulerTest.cpp
@@ -298,6 +298,19 @@
   CHECK(!bench.Offer(kMayWait, true, 1s));
 }
 
+TEST_CASE(
+  "Scheduler offers unused floors to other entry VMs, also while urgent work fills the slots")
+{
+  Bench bench;
+  for (int i = 0; i < 20; ++i) {
+    bench.Offer(kUrgent);
+  }
+  REQUIRE(bench.Start() == 8);
+  CHECK(bench.m_scheduler.Load(bench.m_now).m_freeMayWait == 2);
+  bench.Offer(kMayWait);
+  CHECK(bench.m_scheduler.Load(bench.m_now).m_freeMayWait == 0);
+}
+
 TEST_CASE("Scheduler holds slots back for urgent work only while it comes")
 {
   Bench bench;
