--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,4 +1,13 @@
-int main()
+#include <string_view>
+
+#include "client/Command.h"
+#include "process/ServeCommand.h"
+
+int main(int aCount, char** aArguments)
 {
-  return 0;
+  const bool isServe = aCount > 1 && std::string_view(aArguments[1]) == "serve";
+  if (isServe) {
+    return mustardtray::RunServe(aCount - 1, aArguments + 1);
+  }
+  return mustardtray::RunClient(aCount - 1, aArguments + 1);
 }
