--- a/demo/DemoMain.cpp
+++ b/demo/DemoMain.cpp
@@ -1,31 +1,160 @@
-/// The demo: a small fleet in two availability zones, requests through it, and a table of what
-/// became of them.
+/// The demo: a small fleet in two availability zones, requests through all entry VMs, a drained VM,
+/// and a table of what became of the requests.
 
+#include <filesystem>
 #include <iostream>
 
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+#include "standin/LoadGenerator.h"
 #include "standin/LocalFleet.h"
 
 using namespace mustardtray;
 
-int main(int aCount, char** aArguments)
+namespace {
+
+constexpr Millis kStartTimeout{ 30'000 };
+constexpr Millis kDrainTimeout{ 20'000 };
+const std::string kDrainedVm = "a-t1";
+
+/// One line of the closing table.
+struct TableLine
+{
+  std::string m_name;
+  LoadResult m_result;
+};
+
+LoadOptions MakeLoad(const LocalFleet& aFleet, const std::string& aName, const std::string& aMethod)
+{
+  LoadOptions load;
+  for (const LocalEntryVm& entry : aFleet.EntryVms()) {
+    load.m_urls.push_back(entry.m_callerUrl);
+  }
+  load.m_prefix = aName;
+  load.m_method = aMethod;
+  load.m_path = "/orders/" + aName;
+  load.m_isIdempotent = aMethod == "GET";
+  load.m_count = 400;
+  load.m_perSecond = 200;
+  return load;
+}
+
+std::vector<TableLine> SendRequests(const LocalFleet& aFleet)
+{
+  LoadOptions place = MakeLoad(aFleet, "place", "POST");
+  place.m_isKeyed = true;
+  place.m_sendsPerKey = 2;
+  const LoadOptions lookUp = MakeLoad(aFleet, "look-up", "GET");
+  LoadOptions flood = MakeLoad(aFleet, "change", "POST");
+  flood.m_runTime = Millis(100);
+  flood.m_count = 4'000;
+  flood.m_perSecond = 2'000;
+  auto results = RunLoads({ place, lookUp, flood });
+  return { { "place (urgent, each key sent twice)", std::move(results[0]) },
+           { "look-up (may wait, idempotent)", std::move(results[1]) },
+           { "change (may wait, a flood)", std::move(results[2]) } };
+}
+
+bool PrintTable(const std::vector<TableLine>& aLines, const LocalFleet& aFleet)
+{
+  const Json stats = aFleet.MinionStats();
+  std::size_t foreign = 0;
+  std::cout << fmt::format("\n{:<38} {:>6} {:>9} {:>8} {:>8} {:>7} {:>9}\n",
+                           "requests",
+                           "sent",
+                           "answered",
+                           "refused",
+                           "unknown",
+                           "failed",
+                           "p99 ms");
+  for (const TableLine& line : aLines) {
+    const LoadResult& result = line.m_result;
+    foreign += result.CountForeign();
+    std::cout << fmt::format("{:<38} {:>6} {:>9} {:>8} {:>8} {:>7} {:>9.1f}\n",
+                             line.m_name,
+                             result.m_samples.size(),
+                             result.Count(LoadOutcome::Answered),
+                             result.Count(LoadOutcome::NotRun),
+                             result.Count(LoadOutcome::Unknown),
+                             result.Count(LoadOutcome::Failed),
+                             static_cast<double>(result.Quantile(0.99).count()) / 1e3);
+  }
+  const auto doubleRuns = stats.at("work").at("double_runs").get<std::size_t>();
+  const auto overSlots = stats.at("slot_violations").get<std::size_t>();
+  const auto stopsWithWork = stats.at("stops_with_work").get<std::size_t>();
+  std::cout << fmt::format("double-run {}, answers of another request {}, slots exceeded {}, "
+                           "stops with work in flight {}\n",
+                           doubleRuns,
+                           foreign,
+                           overSlots,
+                           stopsWithWork);
+  return doubleRuns + foreign + overSlots + stopsWithWork == 0;
+}
+
+int Run(const cxxopts::ParseResult& aParsed)
 {
   LocalFleetOptions options;
-  options.m_configurationFile = "examples/wroblewski.json";
-  options.m_vmsFile = "examples/wroblewski-vms.json";
-  options.m_folder = aCount > 1 ? aArguments[1] : "/tmp/mustardtray-demo";
+  options.m_configurationFile = "tests/end_to_end/fleet.json";
+  options.m_vmsFile = "tests/end_to_end/fleet-vms.json";
+  options.m_folder = aParsed["folder"].as<std::string>();
+  std::filesystem::remove_all(options.m_folder);
   LocalFleet fleet(options);
+  std::cout << "Starting the platform's and the minions' stand-ins and 4 daemons in 2 zones ...\n";
   const Result<void> started = fleet.Start();
   if (started.has_error()) {
     std::cerr << started.error().Text() << "\n";
     return 1;
   }
-  std::cout << "up: " << fleet.WaitUntilServing(Millis(20'000)) << "\n";
+  std::vector<std::string> urls;
+  for (const LocalEntryVm& entry : fleet.EntryVms()) {
+    urls.push_back(entry.m_callerUrl);
+  }
+  if (!WaitUntilAnswering(urls, "/orders", kStartTimeout)) {
+    std::cerr << "the fleet did not come up; logs are in " << options.m_folder << "\n";
+    return 1;
+  }
   for (const LocalEntryVm& entry : fleet.EntryVms()) {
-    std::cout << entry.m_name << " " << entry.m_callerUrl << " " << entry.m_metricsUrl << "\n";
+    std::cout << fmt::format("{:<6} {}  callers {}  operators {}  metrics {}\n",
+                             entry.m_name,
+                             entry.m_zone,
+                             entry.m_callerUrl,
+                             entry.m_operatorUrl,
+                             entry.m_metricsUrl);
+  }
+  std::cout << "Sending requests through all four ...\n" << std::flush;
+  const std::vector<TableLine> lines = SendRequests(fleet);
+  std::cout << "Draining " << kDrainedVm << " ...\n" << std::flush;
+  const bool isDrained =
+    fleet.RunClient({ "drain", kDrainedVm }) == 0 &&
+    WaitUntil(kDrainTimeout, [&] { return fleet.VmPhaseOf(kDrainedVm) == "drained"; });
+  std::cout << kDrainedVm << (isDrained ? " is drained\n" : " is NOT drained\n");
+  const bool isGood = PrintTable(lines, fleet) && isDrained;
+  if (aParsed.count("hold") > 0) {
+    std::cout << "\nThe fleet stays up; press Enter to end it. Try:\n  export MUSTARDTRAY_OPERATOR="
+              << fleet.EntryVms().front().m_operatorUrl
+              << "\n  build/mustardtray status\n  build/mustardtray explain vm a-t1\n"
+              << std::flush;
+    std::string line;
+    std::getline(std::cin, line);
+  }
+  std::cout << "Logs are in " << options.m_folder << "\n";
+  return isGood ? 0 : 1;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  cxxopts::Options options("demo", "A fleet on this machine's loopback addresses.");
+  options.add_options()("hold", "leave the fleet up until Enter")(
+    "folder",
+    "for settings and logs",
+    cxxopts::value<std::string>()->default_value("build/demo-fleet"))("h,help", "print this help");
+  const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help() << "\n";
+    return 0;
   }
-  std::cout << std::flush;
-  std::string line;
-  std::getline(std::cin, line);
-  std::cout << fleet.MinionStats().dump(1).substr(0, 1500) << "\n";
-  return 0;
+  return Run(parsed);
 }
--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Millis kDuringPeriod{ 50 };
+/// Enough to meet nearly every partition of the keys.
+constexpr std::size_t kWarmUpKeys = 256;
+constexpr double kWarmUpRate = 1'000;
 
 /// One load while it runs.
 class RunningLoad
@@ -230,6 +233,36 @@
   return results;
 }
 
+bool WaitUntilAnswering(const std::vector<std::string>& aCallerUrls,
+                        const std::string& aPath,
+                        Millis aTimeout)
+{
+  const TimePoint end = MonotonicNow() + aTimeout;
+  for (int round = 0; MonotonicNow() < end; ++round) {
+    LoadOptions lookUp;
+    lookUp.m_urls = aCallerUrls;
+    lookUp.m_path = aPath + "/look-up";
+    lookUp.m_prefix = fmt::format("warm-up-look-up-{}", round);
+    lookUp.m_isIdempotent = true;
+    lookUp.m_count = aCallerUrls.size();
+    LoadOptions keyed = lookUp;
+    keyed.m_method = "POST";
+    keyed.m_path = aPath + "/place";
+    keyed.m_prefix = fmt::format("warm-up-keys-{}", round);
+    keyed.m_isIdempotent = false;
+    keyed.m_isKeyed = true;
+    keyed.m_count = kWarmUpKeys;
+    keyed.m_perSecond = kWarmUpRate;
+    const auto results = RunLoads({ lookUp, keyed });
+    const bool isAnswering = results[0].Count(LoadOutcome::Answered) == lookUp.m_count &&
+                             results[1].Count(LoadOutcome::Answered) == kWarmUpKeys;
+    if (isAnswering) {
+      return true;
+    }
+  }
+  return false;
+}
+
 LoadResult RunLoad(const LoadOptions& aOptions)
 {
   return std::move(RunLoads({ aOptions }).front());
--- a/standin/LoadGenerator.h
+++ b/standin/LoadGenerator.h
@@ -63,6 +63,11 @@
   std::map<std::string, std::size_t> Reasons() const;
 };
 
+/// Waits until every entry VM answers look-ups and keyed requests below aPath: shares are granted
+/// and the partitions of the keys have owners.
+bool WaitUntilAnswering(const std::vector<std::string>& aCallerUrls,
+                        const std::string& aPath,
+                        Millis aTimeout);
 /// Runs one load to its end, on the calling thread.
 LoadResult RunLoad(const LoadOptions& aOptions);
 /// Runs several at once, on the calling thread, and calls aDuring about every 50 ms meanwhile.
--- a/standin/LocalFleet.cpp
+++ b/standin/LocalFleet.cpp
@@ -132,7 +132,10 @@
     return Failure("start stand-ins", m_options.m_folder, "no answer; see the logs there");
   }
   BOOST_OUTCOME_TRYV(StartDaemons());
-  return ApplyConfiguration();
+  if (RunClient({ "apply", m_options.m_configurationFile }) != 0) {
+    return Failure("apply configuration", m_options.m_configurationFile, "see client.log");
+  }
+  return boost::outcome_v2::success();
 }
 
 Result<void> LocalFleet::ReadFiles()
@@ -311,22 +314,26 @@
   return boost::outcome_v2::success();
 }
 
-Result<void> LocalFleet::ApplyConfiguration()
+int LocalFleet::RunClient(const std::vector<std::string>& aArguments)
 {
-  LocalProcess client{ "client",
-                       { Binary("mustardtray"),
-                         "apply",
-                         m_options.m_configurationFile,
-                         "--operator",
-                         m_entryVms.front().m_operatorUrl },
-                       m_options.m_folder + "/apply.log" };
-  BOOST_OUTCOME_TRYV(StartProcess(client));
+  LocalProcess client{ "client", { Binary("mustardtray") }, m_options.m_folder + "/client.log" };
+  client.m_command.insert(client.m_command.end(), aArguments.begin(), aArguments.end());
+  client.m_command.push_back("--operator");
+  client.m_command.push_back(m_entryVms.front().m_operatorUrl);
+  if (StartProcess(client).has_error()) {
+    return -1;
+  }
   int status = 0;
   waitpid(client.m_pid, &status, 0);
-  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-    return Failure("apply configuration", m_options.m_configurationFile, "see apply.log");
-  }
-  return boost::outcome_v2::success();
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::string LocalFleet::VmPhaseOf(const std::string& aVm) const
+{
+  const auto answer = PostJson(m_platformUrl + "/table/read", Json{ { "keys", { "vm/" + aVm } } });
+  const Json document = answer ? Json::parse(answer->m_body, nullptr, false) : Json();
+  const bool hasRow = document.is_object() && !document.at("rows").empty();
+  return hasRow ? document.at("rows").at(0).at("value").value("phase", "") : "";
 }
 
 bool LocalFleet::WaitForUrl(const std::string& aUrl, Millis aTimeout) const
--- a/standin/LocalFleet.h
+++ b/standin/LocalFleet.h
@@ -82,9 +82,17 @@
   void Signal(const std::string& aEntryVm, int aSignal);
   /// Waits until a daemon has ended; false when it has not in time.
   bool WaitForEnd(const std::string& aEntryVm, Millis aTimeout);
+  /// Process id of a daemon; 0 when it does not run.
+  int PidOf(const std::string& aEntryVm) const { return m_daemons.at(aEntryVm).m_pid; }
   /// Starts a daemon that has ended.
   Result<void> Restart(const std::string& aEntryVm);
 
+  /// Runs the operators' client against the first entry VM; its output goes to client.log.
+  /// Returns its exit code, or -1 when it could not be run.
+  int RunClient(const std::vector<std::string>& aArguments);
+  /// Phase of a target VM by its row in the table; empty when it has none.
+  std::string VmPhaseOf(const std::string& aVm) const;
+
   /// Switches faults of the platform's stand-in.
   bool SetPlatformFaults(const Json& aFaults);
   /// Switches the fault of a VM's minions.
@@ -100,7 +108,6 @@
   Json MinionSettingsJson() const;
   Result<void> StartProcess(LocalProcess& aProcess);
   Result<void> StartDaemons();
-  Result<void> ApplyConfiguration();
   bool WaitForUrl(const std::string& aUrl, Millis aTimeout) const;
   std::string WriteFile(const std::string& aName, const Json& aContent) const;
   std::string Binary(const std::string& aName) const;
--- a/tests/end_to_end/FleetFixture.h
+++ b/tests/end_to_end/FleetFixture.h
@@ -21,8 +21,7 @@
     const Result<void> started = m_fleet.Start();
     REQUIRE_MESSAGE(started.has_value(), (started.has_error() ? started.error().Text() : ""));
     REQUIRE(m_fleet.WaitUntilServing(Millis(20'000)));
-    // Shares are granted when every member of a zone has acknowledged the others.
-    REQUIRE(WaitUntil(Millis(20'000), [&] { return EverybodyServes(); }));
+    REQUIRE(WaitUntilAnswering(CallerUrls(), "/orders", Millis(30'000)));
   }
 
   LocalFleet& Fleet() { return m_fleet; }
@@ -72,28 +71,7 @@
     return options;
   }
 
-  bool EverybodyServes()
-  {
-    for (const LocalEntryVm& entry : m_fleet.EntryVms()) {
-      LoadOptions probe = Load("warm-up-" + entry.m_name, "GET", "look-up");
-      probe.m_urls = { entry.m_callerUrl };
-      probe.m_count = 1;
-      if (RunLoad(probe).Count(LoadOutcome::Answered) != 1) {
-        return false;
-      }
-    }
-    LoadOptions keyed = Load("warm-up-keys-" + std::to_string(++m_warmUps), "POST", "place");
-    keyed.m_isKeyed = true;
-    keyed.m_count = kWarmUpKeys;
-    keyed.m_perSecond = 1'000;
-    return RunLoad(keyed).Count(LoadOutcome::Answered) == kWarmUpKeys;
-  }
-
-  /// Enough to meet nearly every partition of the keys.
-  static constexpr std::size_t kWarmUpKeys = 256;
-
   LocalFleet m_fleet;
-  int m_warmUps = 0;
 };
 
 } // namespace mustardtray::test
