--- /dev/null
+++ b/include/mustardtray/process/ConfigService.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// All that a daemon needs for the configuration: the agent that keeps it up to date and the store
+/// that accepts changes. Runs on the control thread.
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "mustardtray/connection/HttpClient.h"
+#include "mustardtray/process/ConfigAgent.h"
+#include "mustardtray/process/ConfigStore.h"
+#include "mustardtray/process/OperatorInterface.h"
+#include "mustardtray/process/TimerService.h"
+
+namespace mustardtray {
+
+/// Single timers that are kept until they fire.
+class DelayedCalls
+{
+public:
+  explicit DelayedCalls(TimerService& aTimers)
+    : m_timers(aTimers)
+  {
+  }
+
+  void After(Millis aDelay, std::function<void()> aCallback)
+  {
+    const std::uint64_t id = m_next++;
+    m_handles[id] = m_timers.After(aDelay, [this, id, callback = std::move(aCallback)] {
+      const auto fired = m_handles.extract(id);
+      callback();
+    });
+  }
+
+private:
+  TimerService& m_timers;
+  std::map<std::uint64_t, TimerHandle> m_handles;
+  std::uint64_t m_next = 0;
+};
+
+template<PlatformAccess P>
+class ConfigService
+{
+public:
+  using OnConfiguration = std::function<void(ConfigurationPointer)>;
+
+  ConfigService(P& aPlatform,
+                TimerService& aTimers,
+                HttpClient& aHttp,
+                std::vector<std::string> aSeeds,
+                OnConfiguration aOnConfiguration)
+    : m_timers(aTimers)
+    , m_delays(aTimers)
+    , m_agent(aPlatform, { MakePeerFetch(aHttp), std::move(aOnConfiguration) }, std::move(aSeeds))
+    , m_store(aPlatform,
+              { &MonotonicNow, &WallNow, [this](Millis aDelay, std::function<void()> aCallback) {
+                 m_delays.After(aDelay, std::move(aCallback));
+               } })
+  {
+  }
+
+  void Start(Millis aPollPeriod) { m_agent.Start(m_timers, aPollPeriod); }
+  ConfigAgent<P>& Agent() { return m_agent; }
+  const ConfigAgent<P>& Agent() const { return m_agent; }
+  ConfigStore<P>& Store() { return m_store; }
+
+  /// The hooks that concern the configuration; the daemon adds those of peers and fleet.
+  OperatorHooks MakeHooks()
+  {
+    OperatorHooks hooks;
+    hooks.m_apply = [this](ApplyRequest aRequest, std::function<void(ApplyOutcome)> aDone) {
+      m_store.Apply(std::move(aRequest), [this, done = std::move(aDone)](ApplyOutcome aOutcome) {
+        m_agent.Poll();
+        done(std::move(aOutcome));
+      });
+    };
+    hooks.m_history = [this](std::size_t aCount, Callback<std::vector<Json>> aDone) {
+      m_store.History(aCount, std::move(aDone));
+    };
+    hooks.m_findOperation = [this](const std::string& aId,
+                                   Callback<std::optional<std::uint64_t>> aDone) {
+      m_store.FindOperation(aId, std::move(aDone));
+    };
+    hooks.m_document = [this] { return m_agent.Replica().Document(); };
+    return hooks;
+  }
+
+private:
+  TimerService& m_timers;
+  DelayedCalls m_delays;
+  ConfigAgent<P> m_agent;
+  ConfigStore<P> m_store;
+};
+
+} // namespace mustardtray
--- a/include/mustardtray/version/CompiledConfiguration.h
+++ b/include/mustardtray/version/CompiledConfiguration.h
@@ -60,7 +60,7 @@
   const MinionsByZone& MinionsOf(std::string_view aService) const;
   std::size_t MinionCount(std::string_view aService) const;
   /// Services that run on the VM, in order.
-  std::vector<std::string> ServicesOn(std::string_view aVm) const;
+  const std::vector<std::string>& ServicesOn(std::string_view aVm) const;
 
   /// The service with the longest prefix of aPath, and its first queue that takes the request.
   RequestRoute FindRoute(std::string_view aMethod, std::string_view aPath) const;
@@ -74,6 +74,8 @@
   std::map<std::string, std::string, std::less<>> m_vmPools;
   std::map<std::string, std::string, std::less<>> m_wantedPools;
   std::map<std::string, MinionsByZone, std::less<>> m_minions;
+  std::map<std::string, std::vector<const ServiceConfig*>, std::less<>> m_poolServices;
+  std::map<std::string, std::vector<std::string>, std::less<>> m_vmServices;
   std::map<std::string, const ServiceConfig*, std::less<>> m_prefixes;
 };
 
--- a/include/mustardtray/version/VmPlacement.h
+++ b/include/mustardtray/version/VmPlacement.h
@@ -2,7 +2,9 @@
 
 /// Which pool and services the labels of a VM give it.
 
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mustardtray/process/Platform.h"
@@ -24,7 +26,24 @@
 std::vector<LabelledVm> LabelTargetVms(const Configuration& aConfiguration,
                                        const std::vector<VmListing>& aVms);
 
-/// Names of the pools whose selector matches; a checked configuration gives at most one.
+/// Finds the pools that match labels without trying every pool: each is filed under the values of
+/// one label key of its selector.
+class PoolMatcher
+{
+public:
+  /// aConfiguration must outlive the matcher.
+  explicit PoolMatcher(const Configuration& aConfiguration);
+
+  /// Names of the pools whose selector matches, in order; a checked configuration gives at most
+  /// one.
+  std::vector<std::string> Match(const Labels& aLabels) const;
+
+private:
+  std::vector<const PoolConfig*> m_matchAll; ///< Pools with an empty selector.
+  std::map<std::pair<std::string, std::string>, std::vector<const PoolConfig*>> m_byLabel;
+};
+
+/// The same for one VM alone.
 std::vector<std::string> MatchingPools(const Configuration& aConfiguration, const Labels& aLabels);
 
 /// True when the service runs a minion on a VM with these labels in that pool.
--- a/src/version/CheckConfiguration.cpp
+++ b/src/version/CheckConfiguration.cpp
@@ -124,9 +124,10 @@
   void CheckVms()
   {
     std::map<std::pair<std::string, std::string>, std::vector<std::string>> doubled;
+    const PoolMatcher matcher(m_configuration);
     for (const LabelledVm& vm : m_vms) {
       const std::string& name = vm.m_listing.m_name;
-      const std::vector<std::string> pools = MatchingPools(m_configuration, vm.m_labels);
+      const std::vector<std::string> pools = matcher.Match(vm.m_labels);
       if (pools.empty() && m_configuration.m_vmLabels.contains(name)) {
         m_check.m_warnings.push_back(
           { "/vm_labels/" + name, "labels that no pool's selector matches", "labels of one pool" });
--- a/src/version/CompiledConfiguration.cpp
+++ b/src/version/CompiledConfiguration.cpp
@@ -13,6 +13,7 @@
   for (const auto& [name, service] : m_configuration.m_services) {
     m_prefixes.emplace(WithoutTrailingSlash(service.m_pathPrefix), &service);
     m_minions[name];
+    m_poolServices[service.m_pool].push_back(&service);
   }
   for (const auto& [name, pool] : m_configuration.m_pools) {
     m_poolVms[name];
@@ -26,9 +27,10 @@
   std::shared_ptr<CompiledConfiguration> compiled(
     new CompiledConfiguration(std::move(aConfiguration)));
   const Configuration& source = compiled->m_configuration;
+  const PoolMatcher matcher(source);
   for (const LabelledVm& vm : LabelTargetVms(source, aVms)) {
     const std::string& name = vm.m_listing.m_name;
-    const std::vector<std::string> matching = MatchingPools(source, vm.m_labels);
+    const std::vector<std::string> matching = matcher.Match(vm.m_labels);
     const std::string wanted = matching.empty() ? std::string() : matching.front();
     if (!wanted.empty()) {
       compiled->m_wantedPools.emplace(name, wanted);
@@ -48,10 +50,15 @@
   }
   m_poolVms[aPool].push_back(aVm.m_name);
   m_vmPools.emplace(aVm.m_name, aPool);
-  for (const auto& [name, service] : m_configuration.m_services) {
-    if (RunsOn(service, aPool, aLabels)) {
-      m_minions[name][aVm.m_zone].push_back(
-        { aVm.m_name, aVm.m_address, service.m_port, aVm.m_zone, aVm.m_rack });
+  const auto services = m_poolServices.find(aPool);
+  if (services == m_poolServices.end()) {
+    return;
+  }
+  for (const ServiceConfig* service : services->second) {
+    if (service->m_selector.Matches(aLabels)) {
+      m_vmServices[aVm.m_name].push_back(service->m_name);
+      m_minions[service->m_name][aVm.m_zone].push_back(
+        { aVm.m_name, aVm.m_address, service->m_port, aVm.m_zone, aVm.m_rack });
     }
   }
 }
@@ -91,19 +98,11 @@
   return count;
 }
 
-std::vector<std::string> CompiledConfiguration::ServicesOn(std::string_view aVm) const
+const std::vector<std::string>& CompiledConfiguration::ServicesOn(std::string_view aVm) const
 {
-  std::vector<std::string> names;
-  for (const auto& [service, zones] : m_minions) {
-    for (const auto& [zone, minions] : zones) {
-      if (std::any_of(minions.begin(), minions.end(), [aVm](const Minion& aMinion) {
-            return aMinion.m_vm == aVm;
-          })) {
-        names.push_back(service);
-      }
-    }
-  }
-  return names;
+  static const std::vector<std::string> sNone;
+  const auto found = m_vmServices.find(aVm);
+  return found == m_vmServices.end() ? sNone : found->second;
 }
 
 RequestRoute CompiledConfiguration::FindRoute(std::string_view aMethod,
--- a/src/version/ConfigurationChange.cpp
+++ b/src/version/ConfigurationChange.cpp
@@ -118,7 +118,7 @@
     if (from != to) {
       m_effect.m_moves.push_back({ aVm, from, to });
     }
-    const std::vector<std::string> runs = m_before->ServicesOn(aVm);
+    const std::vector<std::string>& runs = m_before->ServicesOn(aVm);
     if (!runs.empty() && (from != to || runs != m_after->ServicesOn(aVm))) {
       m_effect.m_drains.push_back(aVm);
     }
--- a/src/version/VmPlacement.cpp
+++ b/src/version/VmPlacement.cpp
@@ -1,6 +1,8 @@
 #include "mustardtray/version/VmPlacement.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 namespace mustardtray {
 
@@ -36,6 +38,41 @@
   return labelled;
 }
 
+PoolMatcher::PoolMatcher(const Configuration& aConfiguration)
+{
+  for (const auto& [name, pool] : aConfiguration.m_pools) {
+    if (pool.m_selector.m_anyOf.empty()) {
+      m_matchAll.push_back(&pool);
+      continue;
+    }
+    const auto& [key, values] = *pool.m_selector.m_anyOf.begin();
+    for (const std::string& value : std::set<std::string>(values.begin(), values.end())) {
+      m_byLabel[{ key, value }].push_back(&pool);
+    }
+  }
+}
+
+std::vector<std::string> PoolMatcher::Match(const Labels& aLabels) const
+{
+  std::vector<std::string> names;
+  for (const PoolConfig* pool : m_matchAll) {
+    names.push_back(pool->m_name);
+  }
+  for (const auto& label : aLabels) {
+    const auto filed = m_byLabel.find(label);
+    if (filed == m_byLabel.end()) {
+      continue;
+    }
+    for (const PoolConfig* pool : filed->second) {
+      if (pool->m_selector.Matches(aLabels)) {
+        names.push_back(pool->m_name);
+      }
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 std::vector<std::string> MatchingPools(const Configuration& aConfiguration, const Labels& aLabels)
 {
   std::vector<std::string> names;
--- a/tests/client/ClientTest.cpp
+++ b/tests/client/ClientTest.cpp
@@ -1,6 +1,5 @@
 #include "client/Command.h"
 
-#include <filesystem>
 #include <iostream>
 #include <sstream>
 
@@ -40,8 +39,7 @@
 
 std::string Example(const std::string& aName)
 {
-  const auto root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
-  return (root / "examples" / aName).string();
+  return test::ExamplePath(aName);
 }
 
 bool Contains(const std::string& aText, const std::string& aPart)
--- a/tests/support/ExampleFiles.h
+++ b/tests/support/ExampleFiles.h
@@ -13,10 +13,24 @@
 
 namespace mustardtray::test {
 
+/// Path of an example. __FILE__ may be relative to the build folder, so the working folder and its
+/// parent are looked at too.
+inline std::string ExamplePath(const std::string& aName)
+{
+  const auto source = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
+  for (const std::filesystem::path& root :
+       { source, std::filesystem::path("."), std::filesystem::path("..") }) {
+    const auto path = root / "examples" / aName;
+    if (std::filesystem::exists(path)) {
+      return path.string();
+    }
+  }
+  return "examples/" + aName;
+}
+
 inline std::string ReadExample(const std::string& aName)
 {
-  const auto root = std::filesystem::path(__FILE__).parent_path().parent_path().parent_path();
-  std::ifstream file(root / "examples" / aName);
+  std::ifstream file(ExamplePath(aName));
   return { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
 }
 
