--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -5,8 +5,8 @@
 
 int main(int aCount, char** aArguments)
 {
-  const std::string_view command = aCount > 1 ? aArguments[1] : "";
-  if (command == "serve") {
+  const bool isServe = aCount > 1 && std::string_view(aArguments[1]) == "serve";
+  if (isServe) {
     return mustardtray::RunServe(aCount - 1, aArguments + 1);
   }
   return mustardtray::RunClient(aCount - 1, aArguments + 1);
