--- a/bench/FleetRun.cpp
+++ b/bench/FleetRun.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int kVmsPerRack = 4;
-constexpr Millis kTick{ 1'000 };
+constexpr Millis kStep{ 1'000 };
 constexpr Millis kSettleLimit{ 120'000 };
 constexpr std::array kServices{ "one", "two", "three", "four", "five" };
 
@@ -121,6 +121,12 @@
   }
 }
 
+void FleetRun::SetPeriod(Millis aPeriod)
+{
+  m_period = aPeriod;
+  m_fleet->Times().m_entryPeriod = aPeriod;
+}
+
 FleetRun::Controller& FleetRun::AddController(const FleetPolicy& aPolicy)
 {
   const std::size_t index = m_controllers.size();
@@ -128,7 +134,7 @@
   m_controllers.push_back(
     std::make_unique<Controller>(*m_access.back(), m_entryVms.at(index), aPolicy));
   m_controllers.back()->SetConfiguration(m_configuration);
-  std::uniform_int_distribution<std::int64_t> offset(0, kTick.count());
+  std::uniform_int_distribution<std::int64_t> offset(0, m_period.count());
   m_time.After(Millis(offset(m_fleet->Random())), [this, index] { Tick(index); });
   return *m_controllers.back();
 }
@@ -137,7 +143,7 @@
 {
   const TimePoint end = m_time.Now() + aLimit;
   while (!aCondition() && m_time.Now() < end) {
-    RunFor(kTick);
+    RunFor(kStep);
   }
   return aCondition();
 }
@@ -146,7 +152,7 @@
 {
   const std::size_t count = m_configuration->m_vmLabels.size();
   RunUntil([this, count] { return m_fleet->View().m_vms.size() == count; }, kSettleLimit);
-  RunFor(kTick * 5);
+  RunFor(m_period * 5);
 }
 
 Result<std::string> FleetRun::StartWave(Controller& aController, const std::string& aOperationId)
@@ -167,7 +173,7 @@
     return;
   }
   m_controllers[aIndex]->Tick(m_time.Now(), m_time.WallNow());
-  m_time.After(kTick, [this, aIndex] { Tick(aIndex); });
+  m_time.After(m_period, [this, aIndex] { Tick(aIndex); });
 }
 
 } // namespace mustardtray
--- a/bench/FleetRun.h
+++ b/bench/FleetRun.h
@@ -39,7 +39,9 @@
 
   FleetRun(const Deployment& aDeployment, std::uint64_t aSeed);
 
-  /// Adds a controller that ticks once a second until its access has ended.
+  /// Sets how often entry VMs read and controllers tick; call it first.
+  void SetPeriod(Millis aPeriod);
+  /// Adds a controller that ticks until its access has ended.
   Controller& AddController(const FleetPolicy& aPolicy);
   void RunFor(Millis aDuration) { m_time.RunUntil(m_time.Now() + aDuration); }
   /// Runs until the condition holds; returns whether it did in time.
@@ -59,6 +61,7 @@
   void Tick(std::size_t aIndex);
 
   VirtualTime m_time;
+  Millis m_period{ 1'000 };
   std::shared_ptr<const Configuration> m_configuration;
   std::unique_ptr<VirtualFleet> m_fleet;
   std::vector<std::string> m_entryVms;
--- a/bench/VirtualFleet.cpp
+++ b/bench/VirtualFleet.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Millis kEntryPeriod{ 1'000 };
+constexpr Millis kSecond{ 1'000 };
 constexpr int kWorkInFlight = 2;
 
 } // namespace
@@ -32,7 +32,7 @@
   entryVm.m_identity.m_address = aListing.m_address;
   entryVm.m_identity.m_zone = aListing.m_zone;
   entryVm.m_identity.m_incarnation = 1;
-  std::uniform_int_distribution<int> offset(0, static_cast<int>(kEntryPeriod.count()));
+  std::uniform_int_distribution<std::int64_t> offset(0, m_times.m_entryPeriod.count());
   m_time.After(Millis(offset(m_random)), [this, name = aListing.m_name] { RunEntryVm(name); });
 }
 
@@ -78,14 +78,15 @@
   if (!commit.m_committed) {
     return commit;
   }
-  const FleetView before = m_view;
+  const auto before = WrittenVms(aTransaction);
   const ScanPage page = m_table.Scan("", m_revision);
   m_revision = page.m_revision;
   m_view.Apply(page);
-  for (const Row& row : page.m_rows) {
-    if (row.m_key.starts_with(kVmRowPrefix)) {
-      CheckCommit(before, row.m_key.substr(kVmRowPrefix.size()));
-    }
+  if (!before.empty()) {
+    m_index = BuildFleetIndex(m_view, m_configuration);
+  }
+  for (const auto& [name, vm] : before) {
+    CheckCommit(vm, name);
   }
   return commit;
 }
@@ -128,7 +129,7 @@
   if (entryVm.m_isGone) {
     return;
   }
-  m_time.After(kEntryPeriod, [this, aName] { RunEntryVm(aName); });
+  m_time.After(m_times.m_entryPeriod, [this, aName] { RunEntryVm(aName); });
   const bool isReading = !entryVm.m_isCutOff && !m_isStoreDown;
   const bool isRegistered = !entryVm.m_written.is_null();
   if (isReading && isRegistered) {
@@ -242,38 +243,49 @@
   m_actions[aRequest.m_operationId] = isDone ? ActionState::Done : ActionState::Failed;
 }
 
-void VirtualFleet::CheckCommit(const FleetView& aBefore, const std::string& aVm)
+std::map<std::string, VmRecord> VirtualFleet::WrittenVms(const Transaction& aTransaction) const
+{
+  std::map<std::string, VmRecord> written;
+  for (const RowWrite& write : aTransaction.m_writes) {
+    if (write.m_key.starts_with(kVmRowPrefix)) {
+      const std::string name = write.m_key.substr(kVmRowPrefix.size());
+      const VmRecord* before = m_view.Vm(name);
+      written[name] = before ? *before : VmRecord{};
+    }
+  }
+  return written;
+}
+
+void VirtualFleet::CheckCommit(const VmRecord& aBefore, const std::string& aVm)
 {
-  const VmRecord* before = aBefore.Vm(aVm);
-  const VmRecord& after = *m_view.Vm(aVm);
-  if (!before) {
+  const VmRecord* found = m_view.Vm(aVm);
+  if (!found || aBefore.m_name.empty()) {
     return;
   }
-  if (!before->IsOut() && after.IsOut()) {
+  const VmRecord& after = *found;
+  if (!aBefore.IsOut() && after.IsOut()) {
     CheckTakeOut(aVm);
   }
-  if (before->m_pool != after.m_pool) {
-    ++m_moves;
+  if (aBefore.m_pool != after.m_pool) {
+    ++(after.m_pool == after.m_homePool ? m_returns : m_moves);
     m_faults.m_twoPools += m_targets.at(aVm).m_runningPool.empty() ? 0 : 1;
-    const FleetIndex index = BuildFleetIndex(m_view, m_configuration);
-    const auto members = index.m_poolMembers.find(before->m_pool);
+    const auto members = m_index.m_poolMembers.find(aBefore.m_pool);
     const int left =
-      members == index.m_poolMembers.end() ? 0 : static_cast<int>(members->second.size());
-    const bool isBelow = left < m_configuration.m_pools.at(before->m_pool).m_minVms;
+      members == m_index.m_poolMembers.end() ? 0 : static_cast<int>(members->second.size());
+    const bool isBelow = left < m_configuration.m_pools.at(aBefore.m_pool).m_minVms;
     m_faults.m_poolBelowMinimum += isBelow ? 1 : 0;
   }
 }
 
 void VirtualFleet::CheckTakeOut(const std::string& aVm)
 {
-  const FleetIndex index = BuildFleetIndex(m_view, m_configuration);
-  const auto services = index.m_servicesOf.find(aVm);
-  if (services == index.m_servicesOf.end() || m_view.Vm(aVm)->m_down) {
+  const auto services = m_index.m_servicesOf.find(aVm);
+  if (services == m_index.m_servicesOf.end() || m_view.Vm(aVm)->m_down) {
     return;
   }
   for (const std::string& service : services->second) {
     int out = 0;
-    for (const std::string& name : index.m_membersOf.at(service)) {
+    for (const std::string& name : m_index.m_membersOf.at(service)) {
       const VmRecord& vm = *m_view.Vm(name);
       out += (vm.IsOut() && !IsJoining(vm)) || vm.m_down ? 1 : 0;
     }
@@ -284,9 +296,8 @@
 
 void VirtualFleet::CountExceedances()
 {
-  m_time.After(kEntryPeriod, [this] { CountExceedances(); });
-  const FleetIndex index = BuildFleetIndex(m_view, m_configuration);
-  for (const auto& [service, members] : index.m_membersOf) {
+  m_time.After(kSecond, [this] { CountExceedances(); });
+  for (const auto& [service, members] : m_index.m_membersOf) {
     const auto out = std::count_if(members.begin(), members.end(), [this](const auto& aName) {
       const VmRecord& vm = *m_view.Vm(aName);
       return !IsServing(vm) && !IsJoining(vm);
--- a/bench/VirtualFleet.h
+++ b/bench/VirtualFleet.h
@@ -25,7 +25,8 @@
   Millis m_rebootLeast{ 60'000 };
   Millis m_rebootMost{ 120'000 };
   Millis m_start{ 5'000 };
-  Millis m_noticeDown{ 3'000 }; ///< Until entry VMs see that a target is down.
+  Millis m_entryPeriod{ 1'000 }; ///< Between reads of an entry VM.
+  Millis m_noticeDown{ 3'000 };  ///< Until entry VMs see that a target is down.
 };
 
 /// What was seen of that which must never be.
@@ -66,7 +67,9 @@
   const Configuration& Config() const { return m_configuration; }
   const FleetView& View() const { return m_view; }
   const FleetFaultCounts& Faults() const { return m_faults; }
+  /// Changes of pool away from and back to the VM's home pool.
   int Moves() const { return m_moves; }
+  int Returns() const { return m_returns; }
   /// Time that the platform and the work in flight need for each VM's maintenance, without waits.
   const std::map<std::string, Millis>& OutTimes() const { return m_outTimes; }
   /// Whether every VM of the selector has been rebooted for a wave and no VM is out.
@@ -102,7 +105,9 @@
   Millis DurationOf(const VmActionRequest& aRequest);
   bool BeginAction(const VmActionRequest& aRequest);
   void EndAction(const VmActionRequest& aRequest);
-  void CheckCommit(const FleetView& aBefore, const std::string& aVm);
+  /// The records as they stand of the VMs whose rows the transaction writes.
+  std::map<std::string, VmRecord> WrittenVms(const Transaction& aTransaction) const;
+  void CheckCommit(const VmRecord& aBefore, const std::string& aVm);
   void CheckTakeOut(const std::string& aVm);
   void CountExceedances();
   bool IsServing(const VmRecord& aVm) const;
@@ -112,6 +117,7 @@
   std::mt19937_64 m_random;
   PlatformTable m_table;
   FleetView m_view;
+  FleetIndex m_index;
   std::uint64_t m_revision = 0;
   ActionTimes m_times;
   bool m_isStoreDown = false;
@@ -122,6 +128,7 @@
   std::map<std::string, Millis> m_outTimes;
   FleetFaultCounts m_faults;
   int m_moves = 0;
+  int m_returns = 0;
 };
 
 } // namespace mustardtray
--- /dev/null
+++ b/tests/process/fleet/DrainGateTest.cpp
@@ -0,0 +1,115 @@
+#include "mustardtray/process/fleet/DrainGate.h"
+
+#include <doctest/doctest.h>
+
+using namespace mustardtray;
+
+namespace {
+
+constexpr TimePoint kStart{ Micros(1) };
+constexpr TimePoint kAfterLag{ std::chrono::seconds(300) };
+
+/// A VM in phase draining and two entry VMs of its zone, "e1" being the reader itself.
+struct GateFixture
+{
+  FleetView m_view;
+  VmInventory m_inventory{ Millis(60'000) };
+  GoneWatch m_watch{ "e1" };
+  VmRecord m_vm;
+
+  GateFixture()
+  {
+    m_vm.m_name = "a";
+    m_vm.m_zone = "z";
+    m_vm.m_phase = VmPhase::Draining;
+    m_vm.m_generation = 5;
+    Report("e1", 5, 0);
+    List(VmState::Live, kStart);
+  }
+
+  void Report(const std::string& aEntryVm,
+              std::uint64_t aGeneration,
+              int aInFlight,
+              VmHealth aHealth = VmHealth::Unknown)
+  {
+    EntryReport report{ aEntryVm, aEntryVm, "z", 1, {} };
+    report.m_targets["a"] = TargetReport{ aGeneration, aInFlight, aHealth };
+    m_view.m_reports[aEntryVm] = Versioned<EntryReport>{ 1, report };
+    m_watch.OnSeen({ aEntryVm, 1 }, kStart);
+  }
+
+  void List(VmState aStateOfE2, TimePoint aNow)
+  {
+    std::vector<VmListing> list(2);
+    list[0].m_name = "e1";
+    list[1].m_name = "e2";
+    list[1].m_state = aStateOfE2;
+    for (VmListing& line : list) {
+      line.m_zone = "z";
+      line.m_role = VmRole::Entry;
+    }
+    m_inventory.Update(list, aNow);
+    m_watch.OnVmList(list, aNow);
+  }
+
+  std::string Reason(TimePoint aNow = kStart) const
+  {
+    return RefuseStop({ m_view, m_inventory, m_watch, aNow }, m_vm).value_or("");
+  }
+};
+
+} // namespace
+
+TEST_CASE("DrainGate waits for the acknowledgement of every entry VM of the zone")
+{
+  GateFixture fixture;
+  CHECK(fixture.Reason().find("entry VM e2 has not acknowledged") != std::string::npos);
+  fixture.Report("e2", 4, 0);
+  CHECK(fixture.Reason().find("entry VM e2 has not acknowledged") != std::string::npos);
+  fixture.Report("e2", 5, 3);
+  CHECK(fixture.Reason() == "entry VM e2 has 3 requests in flight");
+  fixture.Report("e2", 5, 0);
+  CHECK(fixture.Reason().empty());
+}
+
+TEST_CASE("DrainGate passes over an entry VM only when it is surely gone")
+{
+  GateFixture fixture;
+  fixture.Report("e2", 4, 1);
+  fixture.List(VmState::Leaving, kAfterLag);
+  CHECK_FALSE(fixture.Reason(kAfterLag).empty());
+  fixture.List(VmState::Gone, kStart);
+  CHECK_FALSE(fixture.Reason(kStart).empty()); // the list may mean an earlier VM of that name
+  fixture.List(VmState::Gone, kAfterLag);
+  CHECK(fixture.Reason(kAfterLag).empty());
+  fixture.m_watch.OnHeard({ "e2", 1 }, kAfterLag);
+  CHECK_FALSE(fixture.Reason(kAfterLag).empty());
+}
+
+TEST_CASE("DrainGate passes over an entry VM whose address a newer incarnation has")
+{
+  GateFixture fixture;
+  fixture.Report("e2", 4, 1);
+  fixture.List(VmState::Live, kStart);
+  EntryReport successor{ "e3", "e2", "z", 2, {} };
+  successor.m_targets["a"] = TargetReport{ 5, 0, VmHealth::Unknown };
+  fixture.m_view.m_reports["e3"] = Versioned<EntryReport>{ 1, successor };
+  CHECK(fixture.Reason().empty());
+}
+
+TEST_CASE("DrainGate judges health by the zone's entry VMs")
+{
+  GateFixture fixture;
+  const auto judge = [&fixture] {
+    return JudgeHealth({ fixture.m_view, fixture.m_inventory, fixture.m_watch, kStart },
+                       fixture.m_vm);
+  };
+  CHECK(judge() == VmHealth::Unknown);
+  fixture.Report("e2", 4, 0, VmHealth::Healthy); // of an earlier generation
+  CHECK(judge() == VmHealth::Unknown);
+  fixture.Report("e2", 5, 0, VmHealth::Healthy);
+  CHECK(judge() == VmHealth::Healthy);
+  fixture.m_vm.m_phase = VmPhase::Active;
+  fixture.Report("e2", 5, 0, VmHealth::Unreachable);
+  CHECK(judge() == VmHealth::Unreachable);
+}
