--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,14 +1,13 @@
-#include <iostream>
 #include <string_view>
 
+#include "client/Command.h"
 #include "process/ServeCommand.h"
 
 int main(int aCount, char** aArguments)
 {
-  const std::string_view command = aCount > 1 ? aArguments[1] : "";
-  if (command == "serve") {
+  const bool isServe = aCount > 1 && std::string_view(aArguments[1]) == "serve";
+  if (isServe) {
     return mustardtray::RunServe(aCount - 1, aArguments + 1);
   }
-  std::cerr << "usage: mustardtray serve --settings FILE\n";
-  return 2;
+  return mustardtray::RunClient(aCount - 1, aArguments + 1);
 }
