--- a/src/process/ZoneShares.h
+++ b/src/process/ZoneShares.h
@@ -40,6 +40,7 @@
   void Leave()
   {
     m_isLeaving = true;
+    m_shares.BeginLeave();
     Read();
   }
 
