--- a/bench/PathMain.cpp
+++ b/bench/PathMain.cpp
@@ -2,14 +2,12 @@
 /// minions, and the rate at which a daemon is full. One JSON line for each measurement.
 
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <thread>
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
-#include <unistd.h>
 
+#include "bench/ProcessUse.h"
 #include "standin/LoadGenerator.h"
 #include "standin/LocalFleet.h"
 
@@ -26,32 +24,6 @@
 /// A rate counts as carried when all was answered and the 99th percentile stayed below this.
 constexpr Micros kKneeP99{ 20'000 };
 
-struct ProcessUse
-{
-  double m_cpuSeconds = 0;
-  double m_residentMb = 0;
-};
-
-/// Reads a process's own accounts from /proc.
-ProcessUse ReadUse(int aPid)
-{
-  ProcessUse use;
-  std::ifstream stat(fmt::format("/proc/{}/stat", aPid));
-  std::string skipped;
-  for (int field = 1; field <= 13; ++field) {
-    stat >> skipped;
-  }
-  double user = 0;
-  double system = 0;
-  stat >> user >> system;
-  use.m_cpuSeconds = (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-  std::ifstream statm(fmt::format("/proc/{}/statm", aPid));
-  double pages = 0;
-  statm >> skipped >> pages;
-  use.m_residentMb = pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1u << 20);
-  return use;
-}
-
 struct Way
 {
   std::string m_name;
@@ -128,9 +100,9 @@
   {
     double carried = 0;
     for (double rate = kTargetRate; rate <= kHighestRate; rate *= kKneeFactor) {
-      const ProcessUse before = ReadUse(m_fleet.PidOf(m_fleet.EntryVms().front().m_name));
+      const ProcessUse before = ReadProcessUse(m_fleet.PidOf(m_fleet.EntryVms().front().m_name));
       const LoadResult result = RunLoad(MakeLoad(m_through, aMethod, rate, m_seconds));
-      const ProcessUse after = ReadUse(m_fleet.PidOf(m_fleet.EntryVms().front().m_name));
+      const ProcessUse after = ReadProcessUse(m_fleet.PidOf(m_fleet.EntryVms().front().m_name));
       const std::size_t sent = result.m_samples.size();
       const std::size_t answered = result.Count(LoadOutcome::Answered);
       Json line = Line("rate", m_through, aMethod);
--- a/include/mustardtray/process/OperatorInterface.h
+++ b/include/mustardtray/process/OperatorInterface.h
@@ -50,6 +50,8 @@
   std::function<void(const Selector&, const std::string&, Callback<std::string>)> m_maintain;
   /// Wave and what to do with it: "pause", "resume" or "cancel".
   std::function<void(const std::string&, const std::string&, Callback<std::string>)> m_wave;
+  /// Progress of a wave, as JSON; null for one that is not known here.
+  std::function<Json(const std::string&)> m_waveProgress;
 };
 
 class OperatorInterface
@@ -74,6 +76,7 @@
   void Release(const HttpRequest& aRequest, const HttpResponder& aResponder) const;
   void Maintain(const HttpRequest& aRequest, const HttpResponder& aResponder) const;
   void Wave(const HttpRequest& aRequest, const HttpResponder& aResponder) const;
+  void WaveProgress(const HttpRequest& aRequest, const HttpResponder& aResponder) const;
 
   struct Route;
   static const std::vector<Route>& Routes();
--- a/src/client/FleetCommands.cpp
+++ b/src/client/FleetCommands.cpp
@@ -1,3 +1,6 @@
+#include <iostream>
+#include <thread>
+
 #include <fmt/format.h>
 
 #include "client/Command.h"
@@ -6,6 +9,10 @@
 
 namespace {
 
+constexpr Millis kWatchPeriod{ 500 };
+/// How long no entry VM may know the wave before the watch is given up.
+constexpr Millis kWatchPatience{ 30'000 };
+
 std::string FormatOperation(const Json& aBody)
 {
   return fmt::format("requested: operation {}\n", aBody.at("operation_id").get<std::string>());
@@ -48,6 +55,59 @@
   return selector;
 }
 
+std::string FormatProgress(const Json& aProgress)
+{
+  return fmt::format("wave {}: {} of {} done, {} out, {} waiting, {} failing{}, about {} s left\n",
+                     aProgress.at("wave").get<std::string>(),
+                     aProgress.at("done").get<int>(),
+                     aProgress.at("total").get<int>(),
+                     aProgress.at("out").get<int>(),
+                     aProgress.at("waiting").get<int>(),
+                     aProgress.at("failing").get<int>(),
+                     aProgress.at("is_halted").get<bool>() ? ", HALTED" : "",
+                     aProgress.at("remaining_ms").get<std::int64_t>() / 1000);
+}
+
+/// Prints the wave's progress whenever it has changed, until the wave is done.
+int Watch(const CommandLine& aLine, const std::string& aWave)
+{
+  const Result<OperatorClient> client = MakeClient(aLine);
+  if (client.has_error()) {
+    return Fail(client.error());
+  }
+  std::string last;
+  TimePoint patienceEnd = MonotonicNow() + kWatchPatience;
+  while (true) {
+    const Result<OperatorAnswer> answer = client.value().Get("/operator/wave?wave=" + aWave);
+    const bool isKnown = answer.has_value() && answer.value().m_status == 200;
+    if (!isKnown && MonotonicNow() > patienceEnd) {
+      return answer.has_error() ? Fail(answer.error()) : Print(aLine, answer.value(), "");
+    }
+    if (isKnown) {
+      patienceEnd = MonotonicNow() + kWatchPatience;
+      const Json& progress = answer.value().m_body;
+      const std::string text = FormatProgress(progress);
+      if (text != last) {
+        std::cout << (aLine.m_isJson ? progress.dump() + "\n" : text) << std::flush;
+        last = text;
+      }
+      if (progress.at("done") == progress.at("total")) {
+        return kExitDone;
+      }
+    }
+    std::this_thread::sleep_for(kWatchPeriod);
+  }
+}
+
+int StartWave(const CommandLine& aLine, const Json& aSelector)
+{
+  const std::string wave = OperationId(aLine);
+  const int code = PostAndPrint(
+    aLine, "/operator/maintain", Json{ { "selector", aSelector }, { "operation_id", wave } });
+  const bool isWatched = code == kExitDone && aLine.Has("watch");
+  return isWatched ? Watch(aLine, wave) : code;
+}
+
 int RunMaintain(const CommandLine& aLine)
 {
   for (const std::string action : { "pause", "resume", "cancel" }) {
@@ -57,12 +117,14 @@
     }
   }
   const auto selector = ParseTerms(aLine.m_arguments);
+  if (selector && selector->empty() && aLine.Has("watch") && aLine.Has("operation")) {
+    return Watch(aLine, aLine.Value("operation"));
+  }
   if (!selector || selector->empty()) {
-    return FailUsage("maintain KEY=VALUE ..., or --pause, --resume or --cancel WAVE");
+    return FailUsage("maintain KEY=VALUE ..., or --pause, --resume or --cancel WAVE, or --watch "
+                     "--operation WAVE");
   }
-  return PostAndPrint(aLine,
-                      "/operator/maintain",
-                      Json{ { "selector", *selector }, { "operation_id", OperationId(aLine) } });
+  return StartWave(aLine, *selector);
 }
 
 void AddOperationOption(cxxopts::Options& aOptions)
@@ -102,7 +164,8 @@
              AddOperationOption(aOptions);
              aOptions.add_options()("pause", "pause a wave", cxxopts::value<std::string>())(
                "resume", "go on with a wave", cxxopts::value<std::string>())(
-               "cancel", "end a wave", cxxopts::value<std::string>());
+               "cancel", "end a wave", cxxopts::value<std::string>())(
+               "watch", "print the wave's progress until it is done");
            },
            &RunMaintain };
 }
--- a/src/process/ControlPlane.h
+++ b/src/process/ControlPlane.h
@@ -67,6 +67,7 @@
   HttpClient& Http() { return m_http; }
   TimerService& Timers() { return m_timers; }
   FleetController<PlatformClient>& Fleet() { return m_fleet; }
+  const FleetController<PlatformClient>& Fleet() const { return m_fleet; }
   const ConfigAgent<PlatformClient>& Config() const { return m_config; }
   const CompiledPointer& Compiled() const { return m_compiled; }
   const PeerTable& Peers() const { return m_peers; }
--- a/src/process/OperatorHooks.cpp
+++ b/src/process/OperatorHooks.cpp
@@ -27,6 +27,22 @@
   return status;
 }
 
+Json ProgressOf(const ControlPlane& aControl, const std::string& aWave)
+{
+  const std::optional<WaveProgress> progress = aControl.Fleet().Progress(aWave);
+  if (!progress) {
+    return nullptr;
+  }
+  return { { "wave", aWave },
+           { "total", progress->m_total },
+           { "done", progress->m_done },
+           { "out", progress->m_out },
+           { "failing", progress->m_failing },
+           { "waiting", progress->m_waiting },
+           { "is_halted", progress->m_isHalted },
+           { "remaining_ms", progress->m_remaining.count() } };
+}
+
 void ChangeWave(ControlPlane& aControl,
                 const std::string& aWave,
                 const std::string& aAction,
@@ -75,6 +91,9 @@
     [&aControl](const std::string& aWave, const std::string& aAction, Callback<std::string> aDone) {
       ChangeWave(aControl, aWave, aAction, std::move(aDone));
     };
+  hooks.m_waveProgress = [&aControl](const std::string& aWave) {
+    return ProgressOf(aControl, aWave);
+  };
   return hooks;
 }
 
--- a/src/process/OperatorInterface.cpp
+++ b/src/process/OperatorInterface.cpp
@@ -153,6 +153,7 @@
     { "POST", "/operator/release", &OperatorInterface::Release },
     { "POST", "/operator/maintain", &OperatorInterface::Maintain },
     { "POST", "/operator/wave", &OperatorInterface::Wave },
+    { "GET", "/operator/wave", &OperatorInterface::WaveProgress },
   };
   return sRoutes;
 }
@@ -324,6 +325,22 @@
   }
 }
 
+void OperatorInterface::WaveProgress(const HttpRequest& aRequest,
+                                     const HttpResponder& aResponder) const
+{
+  if (!IsSet(aResponder, m_hooks.m_waveProgress != nullptr)) {
+    return;
+  }
+  const std::string wave = aRequest.QueryValue("wave").value_or("");
+  const Json progress = m_hooks.m_waveProgress(wave);
+  if (progress.is_null()) {
+    aResponder.Send(
+      ErrorResponse({ ErrorKind::NotFound, "watch wave", "", "no wave " + ShortText(wave) }));
+    return;
+  }
+  aResponder.Send(JsonResponse(200, progress.dump()));
+}
+
 void OperatorInterface::Wave(const HttpRequest& aRequest, const HttpResponder& aResponder) const
 {
   std::string wave;
--- /dev/null
+++ b/src/request/OutgoingCall.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// What all calls that carry a caller's request have in common.
+
+#include <string>
+
+#include "mustardtray/connection/HttpClient.h"
+#include "request/ActiveRequest.h"
+
+namespace mustardtray {
+
+/// The request as it goes to a minion or to another entry VM at aBaseUrl. One that is not
+/// idempotent takes a connection of its own, so that libcurl never repeats it.
+HttpCall MakeOutgoingCall(const ActiveRequest& aActive, const std::string& aBaseUrl);
+
+} // namespace mustardtray
--- /dev/null
+++ b/src/request/RouterKeys.cpp
@@ -0,0 +1,134 @@
+#include "mustardtray/request/Router.h"
+
+#include <algorithm>
+
+#include "mustardtray/process/Log.h"
+#include "request/ActiveRequest.h"
+#include "request/ForwardEnvelope.h"
+#include "request/HeaderFilter.h"
+#include "request/OutgoingCall.h"
+#include "request/OwnAnswers.h"
+#include "request/RoutingMetrics.h"
+
+namespace mustardtray {
+
+/// The part of the router that settles idempotency keys with the owners of their partitions.
+
+namespace {
+
+/// Time for another entry VM's own refusal to arrive after the deadline.
+constexpr Millis kForwardMargin{ 100 };
+constexpr Millis kRetryAfter{ 1'000 };
+
+} // namespace
+
+void Router::RouteByKey(const ActivePointer& aActive)
+{
+  const std::shared_ptr<const KeyOwnership>& ownership = m_snapshot->m_ownership;
+  const std::size_t partition = PartitionOfHash(aActive->m_key->Hash());
+  const KeyPartitionRecord record =
+    ownership ? ownership->m_partitions[partition].m_record : KeyPartitionRecord{};
+  const bool isOwner = record.m_owner == m_snapshot->m_self;
+  if (isOwner) {
+    ClaimKey(aActive, std::nullopt);
+  } else {
+    ForwardToOwner(aActive, record);
+  }
+}
+
+void Router::ClaimKey(const ActivePointer& aActive, std::optional<std::uint64_t> aEpoch)
+{
+  const KeyClaim claim = m_keys.Claim(
+    WallNow(), *aActive->m_key, RequestFingerprint(aActive->m_request), aActive->m_id, aEpoch);
+  m_metrics->CountKeyDecision(ToName(claim.m_decision));
+  Log(LogCategory::Routing,
+      LogLevel::Info,
+      "claim-key",
+      "request",
+      aActive->m_wireId,
+      "key",
+      aActive->m_key->Text(),
+      "decision",
+      ToName(claim.m_decision),
+      "why",
+      ToName(claim.m_reason));
+  const std::string_view reason = ToName(claim.m_reason);
+  switch (claim.m_decision) {
+    case KeyDecision::Run:
+      aActive->m_holdsKey = true;
+      Schedule(aActive);
+      return;
+    case KeyDecision::Join:
+      Join(aActive);
+      return;
+    case KeyDecision::Answer:
+      Answer(aActive, *claim.m_answer, "answered");
+      return;
+    case KeyDecision::Unknown:
+      Answer(aActive, UnknownAnswer(aActive->m_wireId, reason, true), kUnknown);
+      return;
+    case KeyDecision::NotRun:
+      Answer(aActive, NotRunAnswer(aActive->m_wireId, reason, kRetryAfter), kNotRun);
+      return;
+    case KeyDecision::Mismatch:
+      Answer(aActive, RejectedAnswer(422, aActive->m_wireId, "key-of-another-request"), kNotRun);
+      return;
+  }
+}
+
+void Router::Join(const ActivePointer& aActive)
+{
+  const Micros left = aActive->m_deadline - MonotonicNow();
+  aActive->m_joinTimer = m_timers.After(std::max(left, Micros(0)), [this, aActive] {
+    m_keys.Leave(*aActive->m_key, aActive->m_id);
+    Answer(aActive, UnknownAnswer(aActive->m_wireId, "still-running", true), kUnknown);
+  });
+}
+
+void Router::ForwardToOwner(const ActivePointer& aActive, const KeyPartitionRecord& aRecord)
+{
+  const auto peer = m_snapshot->m_peers.find(aRecord.m_owner.m_node);
+  const bool isReachable =
+    peer != m_snapshot->m_peers.end() && peer->second.m_node == aRecord.m_owner;
+  Log(LogCategory::Routing,
+      LogLevel::Info,
+      "forward-to-owner",
+      "request",
+      aActive->m_wireId,
+      "key",
+      aActive->m_key->Text(),
+      "owner",
+      aRecord.m_owner.m_node,
+      "reachable",
+      isReachable);
+  if (!isReachable) {
+    Answer(aActive, UnknownAnswer(aActive->m_wireId, "key-owner-unreachable", true), kUnknown);
+    return;
+  }
+  const Millis left = CeilMillis(aActive->m_deadline - MonotonicNow());
+  ForwardEnvelope envelope{ ForwardKind::Owner, aActive->m_wireId, m_options.m_node, left, {},
+                            aRecord.m_epoch };
+  HttpCall call = MakeOutgoingCall(*aActive, peer->second.m_forwardUrl);
+  call.m_step = "forward to key owner";
+  call.m_headers.push_back({ std::string(kForwardHeader), FormatForwardEnvelope(envelope) });
+  call.m_timeout = left + kForwardMargin;
+  m_client.Start(std::move(call), [this, aActive](HttpCallResult aResult) {
+    OnOwnerAnswer(aActive, std::move(aResult));
+  });
+}
+
+void Router::OnOwnerAnswer(const ActivePointer& aActive, HttpCallResult aResult)
+{
+  if (aResult.has_error()) {
+    const std::string reason = "key-owner: " + aResult.error().m_error.m_message;
+    Answer(aActive, UnknownAnswer(aActive->m_wireId, reason, aResult.error().m_notSent), kUnknown);
+    return;
+  }
+  const std::string* outcome = aResult.value().Header(kOutcomeHeader);
+  const std::string counted = outcome ? *outcome : "answered";
+  HttpResponse answer = std::move(aResult.value());
+  answer.m_headers = RelayedHeaders(answer.m_headers);
+  Answer(aActive, std::move(answer), counted);
+}
+
+} // namespace mustardtray
--- a/standin/LocalFleet.cpp
+++ b/standin/LocalFleet.cpp
@@ -328,12 +328,12 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-std::string LocalFleet::VmPhaseOf(const std::string& aVm) const
+Json LocalFleet::VmRowOf(const std::string& aVm) const
 {
   const auto answer = PostJson(m_platformUrl + "/table/read", Json{ { "keys", { "vm/" + aVm } } });
   const Json document = answer ? Json::parse(answer->m_body, nullptr, false) : Json();
   const bool hasRow = document.is_object() && !document.at("rows").empty();
-  return hasRow ? document.at("rows").at(0).at("value").value("phase", "") : "";
+  return hasRow ? document.at("rows").at(0).at("value") : Json::object();
 }
 
 bool LocalFleet::WaitForUrl(const std::string& aUrl, Millis aTimeout) const
--- a/standin/LocalFleet.h
+++ b/standin/LocalFleet.h
@@ -90,8 +90,10 @@
   /// Runs the operators' client against the first entry VM; its output goes to client.log.
   /// Returns its exit code, or -1 when it could not be run.
   int RunClient(const std::vector<std::string>& aArguments);
-  /// Phase of a target VM by its row in the table; empty when it has none.
-  std::string VmPhaseOf(const std::string& aVm) const;
+  /// A target VM's row in the table; an empty object when it has none.
+  Json VmRowOf(const std::string& aVm) const;
+  /// Phase of a target VM by its row; empty when it has none.
+  std::string VmPhaseOf(const std::string& aVm) const { return VmRowOf(aVm).value("phase", ""); }
 
   /// Switches faults of the platform's stand-in.
   bool SetPlatformFaults(const Json& aFaults);
--- /dev/null
+++ b/tests/end_to_end/MaintenanceTest.cpp
@@ -0,0 +1,74 @@
+/// Maintenance of target VMs with real processes, while requests go on.
+
+#include "tests/end_to_end/FleetFixture.h"
+
+using namespace mustardtray;
+using namespace mustardtray::test;
+
+namespace {
+
+const std::vector<std::string> kTargets{ "a-t1", "a-t2", "a-t3", "a-t4",
+                                         "b-t1", "b-t2", "b-t3", "b-t4" };
+
+/// Requests that run all along; each is to be answered.
+LoadOptions SteadyLoad(FleetFixture& aFixture, std::size_t aSeconds)
+{
+  LoadOptions place = aFixture.Load("steady", "POST", "place");
+  // The entry VM that is killed gets none, as behind a balancer that has noticed.
+  place.m_urls = { aFixture.Fleet().EntryVm("a-e1").m_callerUrl,
+                   aFixture.Fleet().EntryVm("b-e1").m_callerUrl,
+                   aFixture.Fleet().EntryVm("b-e2").m_callerUrl };
+  place.m_perSecond = 100;
+  place.m_count = 100 * aSeconds;
+  return place;
+}
+
+bool AreAllMaintained(FleetFixture& aFixture)
+{
+  return std::all_of(kTargets.begin(), kTargets.end(), [&](const std::string& aVm) {
+    const Json row = aFixture.Fleet().VmRowOf(aVm);
+    return row.value("phase", "") == "active" && row.value("maintained_number", 0) > 0;
+  });
+}
+
+} // namespace
+
+TEST_CASE("A wave over two zones ends well with an entry VM killed and the platform down for 10 s")
+{
+  FleetFixture fixture("wave");
+  REQUIRE(fixture.Fleet().RunClient({ "maintain", "work=orders" }) == 0);
+  bool isFaulted = false;
+  bool isRestored = false;
+  const auto results = RunLoads({ SteadyLoad(fixture, 30) }, [&](Micros aElapsed) {
+    if (!isFaulted && aElapsed > Millis(2'500)) {
+      fixture.Fleet().Signal("a-e2", SIGKILL);
+      fixture.Fleet().SetPlatformFaults(Json{ { "down", "close" } });
+      isFaulted = true;
+    }
+    if (!isRestored && aElapsed > Millis(12'500)) {
+      fixture.Fleet().SetPlatformFaults(Json{ { "down", "none" } });
+      fixture.Fleet().WaitForEnd("a-e2", Millis(1'000));
+      isRestored = fixture.Fleet().Restart("a-e2").has_value();
+    }
+  });
+  CHECK(isRestored);
+  CHECK(WaitUntil(Millis(60'000), [&] { return AreAllMaintained(fixture); }));
+  CHECK(results[0].Count(LoadOutcome::Answered) == results[0].m_samples.size());
+  CHECK(fixture.Stat("stops") >= kTargets.size());
+  CHECK(fixture.Stat("stops_with_work") == 0);
+  CHECK(fixture.Stat("late_arrivals") == 0);
+  CHECK(fixture.Stat("slot_violations") == 0);
+  CHECK(fixture.WorkStat("double_runs") == 0);
+}
+
+TEST_CASE("A drain in a zone waits while one of its entry VMs is frozen, and says so")
+{
+  FleetFixture fixture("drain-frozen");
+  fixture.Fleet().Signal("a-e2", SIGSTOP);
+  REQUIRE(fixture.Fleet().RunClient({ "drain", "a-t1" }) == 0);
+  SleepFor(Millis(5'000));
+  CHECK(fixture.Fleet().VmPhaseOf("a-t1") == "draining");
+  fixture.Fleet().Signal("a-e2", SIGCONT);
+  CHECK(WaitUntil(Millis(15'000), [&] { return fixture.Fleet().VmPhaseOf("a-t1") == "drained"; }));
+  CHECK(fixture.Stat("stops_with_work") == 0);
+}
