Standin: no use of a call after it was moved

Cause: the linter found the load generator's lambda capturing from a moved call; the capture was not used.

--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -107,8 +107,7 @@
   {
     HttpCall call = MakeCall(aWorkId, aKey, aTarget);
     m_client.Start(
-      std::move(call),
-      [this, aWorkId, body = call.m_body, sent = MonotonicNow()](const HttpCallResult& aResult) {
+      std::move(call), [this, aWorkId, sent = MonotonicNow()](const HttpCallResult& aResult) {
         --m_underWay;
         m_result.m_samples.push_back(MakeSample(aWorkId, aResult, MonotonicNow() - sent));
       });
