--- a/include/mustardtray/process/fleet/FleetController.h
+++ b/include/mustardtray/process/fleet/FleetController.h
@@ -4,8 +4,10 @@
 /// Every entry VM runs one. Its I/O is the platform's; time is handed in.
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +37,9 @@
   {
     m_decider.SetConfiguration(std::move(aConfiguration));
   }
+  /// Told of each VM list that was read, and of a time before it was asked for.
+  using VmListListener = std::function<void(const std::vector<VmListing>&, TimePoint)>;
+  void SetVmListListener(VmListListener aListener) { m_onVmList = std::move(aListener); }
   /// Loads of all pools since the last call, as all entry VMs see them.
   void AddLoads(const std::vector<PoolLoad>& aLoads, TimePoint aNow)
   {
@@ -121,6 +126,7 @@
   std::uint64_t m_round = 0;
   bool m_isBusy = false;
   TimePoint m_roundStart{};
+  VmListListener m_onVmList;
   std::optional<TimePoint> m_listedAt; ///< When the VM list was last read.
   WallTime m_roundWall{};
 };
@@ -171,6 +177,9 @@
   m_platform.ListVms(InRound<std::vector<VmListing>>([this](Result<std::vector<VmListing>> aList) {
     if (aList) {
       m_decider.TakeVmList(aList.value(), m_roundStart);
+      if (m_onVmList) {
+        m_onVmList(aList.value(), m_roundStart);
+      }
       m_listedAt = m_roundStart;
     } else {
       Log(LogCategory::Fleet, LogLevel::Warning, "list-failed", "error", aList.error().Text());
--- a/src/process/ControlPlane.cpp
+++ b/src/process/ControlPlane.cpp
@@ -87,6 +87,10 @@
 {
   m_pollTimer = m_timers.Every(m_settings.m_pollPeriod, kPeriodJitter, [this] { Poll(); });
   m_beatTimer = m_timers.Every(m_settings.m_heartbeatPeriod, kPeriodJitter, [this] { Beat(); });
+  m_fleet.SetVmListListener([this](const std::vector<VmListing>& aVms, TimePoint aAskedAfter) {
+    m_vms = aVms;
+    m_goneWatch.OnVmList(m_vms, aAskedAfter);
+  });
   m_config.Start(m_timers, m_settings.m_pollPeriod);
   Poll();
 }
@@ -112,7 +116,6 @@
 {
   m_registration.Tick();
   m_peers.Expire(MonotonicNow());
-  ListVms();
   if (!m_registration.IsRegistered()) {
     return;
   }
@@ -128,16 +131,6 @@
   }
 }
 
-void ControlPlane::ListVms()
-{
-  m_platform.ListVms([this, asked = MonotonicNow()](const Result<std::vector<VmListing>>& aVms) {
-    if (aVms.has_value()) {
-      m_vms = aVms.value();
-      m_goneWatch.OnVmList(m_vms, asked);
-    }
-  });
-}
-
 std::set<std::string> ControlPlane::HeardLately() const
 {
   std::set<std::string> heard;
--- a/src/process/ControlPlane.h
+++ b/src/process/ControlPlane.h
@@ -81,7 +81,6 @@
   Heartbeat MakeHeartbeat() const;
   void OnConfiguration(ConfigurationPointer aConfiguration);
   void PublishRouting();
-  void ListVms();
   std::set<std::string> HeardLately() const;
   /// Daemons of this region that may own partitions of the keys now.
   std::vector<NodeIncarnation> KeyMembers() const;
--- a/standin/LocalFleet.cpp
+++ b/standin/LocalFleet.cpp
@@ -314,12 +314,13 @@
   return boost::outcome_v2::success();
 }
 
-int LocalFleet::RunClient(const std::vector<std::string>& aArguments)
+int LocalFleet::RunClient(const std::vector<std::string>& aArguments, const std::string& aEntryVm)
 {
   LocalProcess client{ "client", { Binary("mustardtray") }, m_options.m_folder + "/client.log" };
   client.m_command.insert(client.m_command.end(), aArguments.begin(), aArguments.end());
   client.m_command.push_back("--operator");
-  client.m_command.push_back(m_entryVms.front().m_operatorUrl);
+  const LocalEntryVm& entry = aEntryVm.empty() ? m_entryVms.front() : EntryVm(aEntryVm);
+  client.m_command.push_back(entry.m_operatorUrl);
   if (StartProcess(client).has_error()) {
     return -1;
   }
--- a/standin/LocalFleet.h
+++ b/standin/LocalFleet.h
@@ -87,9 +87,9 @@
   /// Starts a daemon that has ended.
   Result<void> Restart(const std::string& aEntryVm);
 
-  /// Runs the operators' client against the first entry VM; its output goes to client.log.
-  /// Returns its exit code, or -1 when it could not be run.
-  int RunClient(const std::vector<std::string>& aArguments);
+  /// Runs the operators' client against an entry VM, the first when none is named; its output goes
+  /// to client.log. Returns its exit code, or -1 when it could not be run.
+  int RunClient(const std::vector<std::string>& aArguments, const std::string& aEntryVm = {});
   /// A target VM's row in the table; an empty object when it has none.
   Json VmRowOf(const std::string& aVm) const;
   /// Phase of a target VM by its row; empty when it has none.
--- a/tests/end_to_end/RoutingFailureTest.cpp
+++ b/tests/end_to_end/RoutingFailureTest.cpp
@@ -177,3 +177,69 @@
   CHECK(placed.Count(LoadOutcome::Answered) == 800);
   CheckMinionAccounts(fixture);
 }
+
+TEST_CASE("A zone cut off from the platform goes on serving and takes changes from its peers")
+{
+  FleetFixture fixture("cut");
+  LocalFleet& fleet = fixture.Fleet();
+  const Json cut{ { "cut_addresses",
+                    { fleet.EntryVm("a-e1").m_address, fleet.EntryVm("a-e2").m_address } } };
+  REQUIRE(fleet.SetPlatformFaults(cut));
+  LoadOptions place = fixture.Load("place", "POST", "place");
+  place.m_count = 600;
+  place.m_perSecond = 200;
+  place.m_isKeyed = true;
+  const LoadResult placed = RunLoad(place);
+  CAPTURE(Text(placed));
+  CHECK(placed.Count(LoadOutcome::Answered) == 600);
+  CHECK(fleet.RunClient({ "label", "a-t1", "checked=yes" }, "a-e1") == 1);
+  CHECK(fleet.RunClient({ "label", "a-t1", "checked=yes", "--wait" }, "b-e1") == 0);
+  REQUIRE(fleet.SetPlatformFaults(Json{ { "cut_addresses", Json::array() } }));
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("A slow platform that loses answers, and a killed entry VM, double nothing")
+{
+  FleetFixture fixture("slow");
+  REQUIRE(
+    fixture.Fleet().SetPlatformFaults(Json{ { "slow_ms", 500 }, { "lose_probability", 0.3 } }));
+  LoadOptions place = fixture.Load("place", "POST", "place");
+  place.m_count = 1'000;
+  place.m_perSecond = 100;
+  place.m_isKeyed = true;
+  place.m_sendsPerKey = 2;
+  bool isKilled = false;
+  bool isRestarted = false;
+  const auto results = RunLoads({ place }, [&](Micros aElapsed) {
+    if (!isKilled && aElapsed > Millis(2'000)) {
+      fixture.Fleet().Signal("b-e2", SIGKILL);
+      isKilled = true;
+    }
+    if (!isRestarted && aElapsed > Millis(3'000) && fixture.Fleet().WaitForEnd("b-e2", Millis(1))) {
+      isRestarted = fixture.Fleet().Restart("b-e2").has_value();
+    }
+  });
+  CAPTURE(Text(results[0]));
+  CHECK(isRestarted);
+  CHECK(results[0].Count(LoadOutcome::Answered) > results[0].m_samples.size() / 2);
+  CHECK(results[0].CountForeign() == 0);
+  CheckMinionAccounts(fixture);
+}
+
+TEST_CASE("A minion that fails everything fast draws next to no work")
+{
+  FleetFixture fixture("failing");
+  REQUIRE(fixture.Fleet().SetMinionFault("a-t1", Json{ { "fault", "fail" } }));
+  LoadOptions lookUp = fixture.Load("look-up", "GET", "look-up");
+  lookUp.m_count = 1'000;
+  lookUp.m_perSecond = 500;
+  const LoadResult lookedUp = RunLoad(lookUp);
+  CAPTURE(Text(lookedUp));
+  const auto failed =
+    std::count_if(lookedUp.m_samples.begin(),
+                  lookedUp.m_samples.end(),
+                  [](const LoadSample& aSample) { return aSample.m_status >= 500; });
+  // One in eight minions fails; by its share it would answer 125.
+  CHECK(failed < 50);
+  CheckMinionAccounts(fixture);
+}
--- /dev/null
+++ b/tests/process/PeerTableTest.cpp
@@ -0,0 +1,97 @@
+#include "mustardtray/process/PeerTable.h"
+
+#include <doctest/doctest.h>
+
+#include "process/RoutingPublisher.h"
+
+using namespace mustardtray;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 1'000s };
+
+Heartbeat From(const std::string& aNode, const std::string& aZone, std::uint64_t aIncarnation = 1)
+{
+  Heartbeat heartbeat;
+  heartbeat.m_sender = {
+    { aNode, aIncarnation }, aZone, "region", "http://peer-" + aNode, "http://forward-" + aNode
+  };
+  heartbeat.m_free["orders"] = { 4, 2 };
+  return heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("A heartbeat survives the way over JSON")
+{
+  Heartbeat heartbeat = From("a", "zone-a", 7);
+  heartbeat.m_leaving["t1"] = 12;
+  heartbeat.m_sharesAcknowledged = 3;
+  const Result<Heartbeat> parsed = ParseHeartbeat(Json::parse(ToJson(heartbeat).dump()));
+  REQUIRE(parsed.has_value());
+  CHECK(parsed.value().m_sender == heartbeat.m_sender);
+  CHECK(parsed.value().m_leaving == heartbeat.m_leaving);
+  CHECK(parsed.value().m_sharesAcknowledged == 3);
+  CHECK(parsed.value().m_free.at("orders").m_urgent == 4);
+  CHECK(ParseHeartbeat(Json::parse("[]")).has_error());
+  CHECK(ParseHeartbeat(Json::parse(R"({"sender": {"node": 5}})")).has_error());
+}
+
+TEST_CASE("Heartbeats go to the whole zone and to one node of each other zone in turn")
+{
+  PeerTable peers("a1", "zone-a");
+  for (const std::string node : { "a2", "a3" }) {
+    peers.OnHeartbeat(kStart, From(node, "zone-a"), std::nullopt);
+  }
+  for (const std::string node : { "b1", "b2", "b3" }) {
+    peers.OnHeartbeat(kStart, From(node, "zone-b"), std::nullopt);
+  }
+  std::map<std::string, int> sent;
+  for (int round = 0; round < 3; ++round) {
+    const auto targets = peers.HeartbeatTargets();
+    CHECK(targets.size() == 3);
+    for (const NodeInfo& target : targets) {
+      ++sent[target.m_id.m_node];
+    }
+  }
+  CHECK(sent == std::map<std::string, int>{
+                  { "a2", 3 }, { "a3", 3 }, { "b1", 1 }, { "b2", 1 }, { "b3", 1 } });
+}
+
+TEST_CASE("A silent or leaving peer has no room, and an older incarnation is not believed")
+{
+  PeerTable peers("a1", "zone-a");
+  peers.OnHeartbeat(kStart, From("a2", "zone-a", 2), 1ms);
+  CHECK(peers.Rooms(kStart + 1s).at("orders").size() == 1);
+  CHECK(peers.Rooms(kStart + 10s).empty());
+  Heartbeat old = From("a2", "zone-a", 1);
+  old.m_sender.m_forwardUrl = "http://old";
+  peers.OnHeartbeat(kStart + 10s, old, std::nullopt);
+  CHECK(peers.Endpoints().at("a2").m_forwardUrl == "http://forward-a2");
+  Heartbeat leaving = From("a2", "zone-a", 2);
+  leaving.m_isLeaving = true;
+  peers.OnHeartbeat(kStart + 10s, leaving, std::nullopt);
+  CHECK(peers.Rooms(kStart + 10s).empty());
+  CHECK(peers.Endpoints().contains("a2"));
+}
+
+TEST_CASE("A VM takes no work when a peer has seen a newer row in which it is out")
+{
+  PeerTable peers("a1", "zone-a");
+  VmRecord vm;
+  vm.m_name = "t1";
+  vm.m_generation = 4;
+  CHECK(TakesWork(vm, peers));
+  Heartbeat heartbeat = From("a2", "zone-a");
+  heartbeat.m_leaving["t1"] = 4;
+  peers.OnHeartbeat(kStart, heartbeat, std::nullopt);
+  CHECK(TakesWork(vm, peers));
+  heartbeat.m_leaving["t1"] = 5;
+  peers.OnHeartbeat(kStart, heartbeat, std::nullopt);
+  CHECK_FALSE(TakesWork(vm, peers));
+  vm.m_generation = 6;
+  CHECK(TakesWork(vm, peers));
+  vm.m_phase = VmPhase::Draining;
+  CHECK_FALSE(TakesWork(vm, peers));
+}
