Process: demand of each pool, from all entry VMs, for moves between pools

Cause: the fleet controller's move planner was never given loads, so the daemon could not move a VM for a lasting deficit. Each entry VM measures arrivals times run time of what came to it first (forwarded requests count once) and tells its peers in heartbeats. A move by real daemons was not run: a deficit has to last 8 minutes.

--- a/include/mustardtray/process/Heartbeat.h
+++ b/include/mustardtray/process/Heartbeat.h
@@ -25,11 +25,12 @@
   bool operator==(const NodeInfo&) const = default;
 };
 
-/// Requests of one service that would start at once at the sender.
+/// Of one service at the sender: requests that would start at once, and the demand.
 struct FreeSlots
 {
   int m_urgent = 0;
   int m_mayWait = 0;
+  double m_demand = 0; ///< Slots kept busy by what arrives there.
 };
 
 struct Heartbeat
--- a/include/mustardtray/request/RoutingSnapshot.h
+++ b/include/mustardtray/request/RoutingSnapshot.h
@@ -54,7 +54,9 @@
   RoutingPointer m_applied;                   ///< The last snapshot taken over.
   bool m_withinShares = false;                ///< Nothing runs beyond the shares of that snapshot.
   std::map<std::string, ServiceLoad> m_loads; ///< By service.
-  std::map<std::string, int> m_runningByVm;   ///< Attempts in flight at each minion's VM.
+  /// By service, since the start: requests that came here first, refused ones included.
+  std::map<std::string, std::uint64_t> m_arrivals;
+  std::map<std::string, int> m_runningByVm; ///< Attempts in flight at each minion's VM.
   std::vector<StoppedPartition> m_stoppedPartitions;
   std::size_t m_active = 0; ///< Requests that are not answered yet.
 };
--- a/src/process/ControlPlane.cpp
+++ b/src/process/ControlPlane.cpp
@@ -127,7 +127,9 @@
   m_keys->Partitions().OnMembers(KeyMembers(), MonotonicNow());
   m_keys->Tick(m_goneWatch);
   if (m_configuration && m_reports->IsWritten()) {
-    m_fleet.Tick(MonotonicNow(), WallNow());
+    const TimePoint now = MonotonicNow();
+    m_fleet.AddLoads(PoolLoadsOf(*m_configuration, m_demand.Latest(), m_peers, now), now);
+    m_fleet.Tick(now, WallNow());
   }
 }
 
@@ -184,7 +186,9 @@
     heartbeat.m_sharesSettledLoss = shares.m_settledLoss;
   }
   for (const auto& [service, load] : m_traffic.m_loads) {
-    heartbeat.m_free[service] = { load.m_freeUrgent, load.m_freeMayWait };
+    const auto demand = m_demand.Latest().find(service);
+    const double slots = demand == m_demand.Latest().end() ? 0 : demand->second;
+    heartbeat.m_free[service] = { load.m_freeUrgent, load.m_freeMayWait, slots };
   }
   for (const auto& [name, row] : m_fleet.View().m_vms) {
     if (row.m_value.m_zone == m_settings.m_zone && row.m_value.IsOut()) {
@@ -296,6 +300,7 @@
 void ControlPlane::OnTrafficReport(TrafficReport aReport)
 {
   m_traffic = std::move(aReport);
+  m_demand.OnReport(MonotonicNow(), m_traffic);
   m_reportsSinceLeaving += m_isLeaving ? 1 : 0;
   if (!m_registration.IsRegistered()) {
     return;
--- a/src/process/ControlPlane.h
+++ b/src/process/ControlPlane.h
@@ -28,6 +28,7 @@
 #include "process/KeyKeeper.h"
 #include "process/NodeRegistration.h"
 #include "process/PeerMessenger.h"
+#include "process/PoolDemand.h"
 #include "process/RoutingPublisher.h"
 #include "process/TargetHealth.h"
 #include "process/ZoneShares.h"
@@ -109,6 +110,7 @@
   std::size_t m_compiledFleet = 0; ///< Fingerprint of the VM rows that m_compiled stands on.
   std::shared_ptr<const KeyOwnership> m_ownership;
   TrafficReport m_traffic;
+  DemandMeter m_demand;
   bool m_isLeaving = false;
   int m_reportsSinceLeaving = 0;
   TimerHandle m_pollTimer;
--- a/src/process/Heartbeat.cpp
+++ b/src/process/Heartbeat.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+constexpr double kMostDemand = 1e9;
+
 std::uint64_t ReadCount(JsonReader& aReader, std::string_view aKey)
 {
   return static_cast<std::uint64_t>(aReader.Integer(aKey, 0, 0, INT64_MAX));
@@ -27,6 +29,7 @@
     FreeSlots& free = aHeartbeat.m_free[aService];
     free.m_urgent = static_cast<int>(aFree.Integer("urgent", 0, 0, INT32_MAX));
     free.m_mayWait = static_cast<int>(aFree.Integer("may_wait", 0, 0, INT32_MAX));
+    free.m_demand = aFree.Number("demand", 0, 0, kMostDemand);
   });
   aReader.Object("leaving", [&](JsonReader& aLeaving) {
     for (const auto& [vm, generation] : aLeaving.Value().items()) {
@@ -59,7 +62,9 @@
 {
   Json free = Json::object();
   for (const auto& [service, slots] : aHeartbeat.m_free) {
-    free[service] = Json{ { "urgent", slots.m_urgent }, { "may_wait", slots.m_mayWait } };
+    free[service] = Json{ { "urgent", slots.m_urgent },
+                          { "may_wait", slots.m_mayWait },
+                          { "demand", slots.m_demand } };
   }
   return Json{ { "sender", ToJson(aHeartbeat.m_sender) },
                { "is_leaving", aHeartbeat.m_isLeaving },
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -30,6 +30,7 @@
   Millis m_maxRun;
   Scheduler m_scheduler;
   std::map<std::string, MinionEndpoint> m_minions; ///< By VM, also those that are leaving.
+  std::uint64_t m_arrivals = 0; ///< Requests that no other entry VM has forwarded for room.
   TimerHandle m_wake;
   bool m_isPumping = false;
   bool m_pumpAgain = false;
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -194,6 +194,8 @@
                           aActive->m_idempotent,
                           aActive->m_hops };
   const std::shared_ptr<ServiceState> service = aActive->m_service;
+  const bool cameHereFirst = !aActive->m_hops.m_withinZone && !aActive->m_hops.m_acrossZones;
+  service->m_arrivals += cameHereFirst ? 1 : 0;
   if (const auto refusal = service->m_scheduler.Offer(MonotonicNow(), info)) {
     Refuse(aActive, *refusal);
     return;
@@ -323,6 +325,7 @@
   for (const auto& [name, service] : m_services) {
     const ServiceLoad load = service->m_scheduler.Load(now);
     report.m_loads[name] = load;
+    report.m_arrivals[name] = service->m_arrivals;
     m_metrics->SetLoad(name, load);
     for (const auto& [vm, minion] : service->m_minions) {
       const int running = service->m_scheduler.SlotsInUse(now, vm);
--- a/tests/process/PeerTableTest.cpp
+++ b/tests/process/PeerTableTest.cpp
@@ -17,7 +17,7 @@
   heartbeat.m_sender = {
     { aNode, aIncarnation }, aZone, "region", "http://peer-" + aNode, "http://forward-" + aNode
   };
-  heartbeat.m_free["orders"] = { 4, 2 };
+  heartbeat.m_free["orders"] = { 4, 2, 1.5 };
   return heartbeat;
 }
 
@@ -34,6 +34,7 @@
   CHECK(parsed.value().m_leaving == heartbeat.m_leaving);
   CHECK(parsed.value().m_sharesAcknowledged == 3);
   CHECK(parsed.value().m_free.at("orders").m_urgent == 4);
+  CHECK(parsed.value().m_free.at("orders").m_demand == 1.5);
   CHECK(ParseHeartbeat(Json::parse("[]")).has_error());
   CHECK(ParseHeartbeat(Json::parse(R"({"sender": {"node": 5}})")).has_error());
 }
