--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -1,8 +1,11 @@
 #include "mustardtray/process/Settings.h"
 
+#include <random>
+
 #include <doctest/doctest.h>
 
 using namespace mustardtray;
+using namespace nlohmann::literals;
 
 namespace {
 
@@ -61,3 +64,43 @@
   document["operator"]["token_file"] = "token";
   CHECK(Faults(document).empty());
 }
+
+TEST_CASE("Settings with any field replaced are parsed or refused, and never end the process")
+{
+  const std::vector<Json> values{ Json(),
+                                  -1,
+                                  1e300,
+                                  "",
+                                  "x",
+                                  true,
+                                  Json::array({ 1 }),
+                                  Json::object({ { "port", Json::array() } }),
+                                  UINT64_MAX };
+  const std::vector<Json::json_pointer> places{ "/node"_json_pointer,
+                                                "/zone"_json_pointer,
+                                                "/caller"_json_pointer,
+                                                "/caller/port"_json_pointer,
+                                                "/platform/url"_json_pointer,
+                                                "/operator/address"_json_pointer,
+                                                "/seeds"_json_pointer,
+                                                "/heartbeat_ms"_json_pointer,
+                                                "/log_level"_json_pointer,
+                                                "/metrics"_json_pointer,
+                                                "/drain_timeout_ms"_json_pointer };
+  std::mt19937 random(11);
+  for (int round = 0; round < 2'000; ++round) {
+    Json document = GoodSettings();
+    for (int i = 0; i < 3; ++i) {
+      const Json::json_pointer& place = places[random() % places.size()];
+      const bool hasParent = document.contains(place.parent_pointer()) &&
+                             document.at(place.parent_pointer()).is_object();
+      if (hasParent) {
+        document[place] = values[random() % values.size()];
+      }
+    }
+    for (const FieldError& fault : Faults(document)) {
+      CHECK_FALSE(fault.m_allowed.empty());
+    }
+  }
+  CHECK_FALSE(Faults(Json::array()).empty());
+}
--- a/tests/support/RawSocket.h
+++ b/tests/support/RawSocket.h
@@ -21,14 +21,25 @@
   return { asio::ip::address_v4::loopback(), aPort };
 }
 
+enum class SendEnd
+{
+  KeepOpen,
+  Finish, ///< Ends the sending side, so that the peer sees the end of the stream.
+};
+
 /// Sends bytes and returns all that comes back until the peer closes.
-inline std::string SendRaw(std::uint16_t aPort, std::string_view aBytes)
+inline std::string SendRaw(std::uint16_t aPort,
+                           std::string_view aBytes,
+                           SendEnd aEnd = SendEnd::KeepOpen)
 {
   asio::io_context context;
   asio::ip::tcp::socket socket(context);
   socket.connect(Loopback(aPort));
   asio::error_code error;
   asio::write(socket, asio::buffer(aBytes), error);
+  if (aEnd == SendEnd::Finish) {
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  }
   std::string answer;
   asio::read(socket, asio::dynamic_buffer(answer), error);
   return answer;
