Tests: the wave case shows that leaving VMs get no work

Cause: with the rule switched off on a scratch copy the case still passed, since drains ended when the load did. Requests now run 200 ms, and VMs have to be stopped under load.

--- a/tests/end_to_end/MaintenanceTest.cpp
+++ b/tests/end_to_end/MaintenanceTest.cpp
@@ -20,6 +20,8 @@
                    aFixture.Fleet().EntryVm("b-e2").m_callerUrl };
   place.m_perSecond = 100;
   place.m_count = 100 * aSeconds;
+  // Long enough that every minion has work in flight nearly all the time.
+  place.m_runTime = Millis(200);
   return place;
 }
 
@@ -39,7 +41,7 @@
   REQUIRE(fixture.Fleet().RunClient({ "maintain", "work=orders" }) == 0);
   bool isFaulted = false;
   bool isRestored = false;
-  const auto results = RunLoads({ SteadyLoad(fixture, 30) }, [&](Micros aElapsed) {
+  const auto results = RunLoads({ SteadyLoad(fixture, 50) }, [&](Micros aElapsed) {
     if (!isFaulted && aElapsed > Millis(2'500)) {
       fixture.Fleet().Signal("a-e2", SIGKILL);
       fixture.Fleet().SetPlatformFaults(Json{ { "down", "close" } });
@@ -52,6 +54,8 @@
     }
   });
   CHECK(isRestored);
+  // A drain that only ends when the load does would show that a leaving VM still gets work.
+  CHECK(fixture.Stat("stops") > 0);
   CHECK(WaitUntil(Millis(60'000), [&] { return AreAllMaintained(fixture); }));
   CHECK(results[0].Count(LoadOutcome::Answered) == results[0].m_samples.size());
   CHECK(fixture.Stat("stops") >= kTargets.size());
