Request: one call that forwards, and no state that nobody reads

Cause: a read of the whole change. The envelope, its header and the margin for forwarding were put together twice, with two copies of the margin; Classify and ReadKey looked their request up in the map again, once or twice for each request on the hot path; the number of the attempt in flight, two io_context references and a metrics parameter were kept and never read. No behaviour is meant to change.

--- a/include/mustardtray/request/Router.h
+++ b/include/mustardtray/request/Router.h
@@ -55,9 +55,9 @@
 
   ActivePointer MakeActive(HttpRequest aRequest, HttpResponder aResponder);
   /// Finds service and queue; answers and returns false when there are none.
-  bool Classify(ActiveRequest& aActive);
+  bool Classify(const ActivePointer& aActive);
   /// Reads the idempotency key; answers and returns false when it is malformed.
-  bool ReadKey(ActiveRequest& aActive);
+  bool ReadKey(const ActivePointer& aActive);
   void Route(const ActivePointer& aActive);
 
   void RouteByKey(const ActivePointer& aActive);
@@ -89,7 +89,6 @@
   void UpdateServices();
   void UpdateService(const ServiceConfig& aConfig);
 
-  asio::io_context& m_context;
   RouterOptions m_options;
   TimerService m_timers;
   HttpClient m_client;
--- a/src/process/ControlPlane.cpp
+++ b/src/process/ControlPlane.cpp
@@ -44,12 +44,8 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(asio::io_context& aContext,
-                           const Settings& aSettings,
-                           Metrics&,
-                           Publish aPublish)
-  : m_context(aContext)
-  , m_settings(aSettings)
+ControlPlane::ControlPlane(asio::io_context& aContext, const Settings& aSettings, Publish aPublish)
+  : m_settings(aSettings)
   , m_publish(std::move(aPublish))
   , m_timers(aContext)
   , m_http(aContext, aSettings.m_outboundAddress)
--- a/src/process/ControlPlane.h
+++ b/src/process/ControlPlane.h
@@ -18,7 +18,6 @@
 #include "mustardtray/connection/HttpServer.h"
 #include "mustardtray/process/ConfigAgent.h"
 #include "mustardtray/process/GoneWatch.h"
-#include "mustardtray/process/Metrics.h"
 #include "mustardtray/process/PeerTable.h"
 #include "mustardtray/process/PlatformClient.h"
 #include "mustardtray/process/Settings.h"
@@ -41,10 +40,7 @@
   /// Hands a snapshot to the traffic thread, which answers with OnTrafficReport().
   using Publish = std::function<void(RoutingPointer)>;
 
-  ControlPlane(asio::io_context& aContext,
-               const Settings& aSettings,
-               Metrics& aMetrics,
-               Publish aPublish);
+  ControlPlane(asio::io_context& aContext, const Settings& aSettings, Publish aPublish);
   ~ControlPlane();
   ControlPlane(const ControlPlane&) = delete;
   ControlPlane& operator=(const ControlPlane&) = delete;
@@ -87,7 +83,6 @@
   std::vector<NodeIncarnation> KeyMembers() const;
   Micros LongestRun() const;
 
-  asio::io_context& m_context;
   const Settings& m_settings;
   Publish m_publish;
   TimerService m_timers;
--- a/src/process/Daemon.cpp
+++ b/src/process/Daemon.cpp
@@ -76,7 +76,6 @@
                  })
     , m_control(m_controlContext,
                 m_settings,
-                m_metrics,
                 [this](RoutingPointer aSnapshot) { Publish(std::move(aSnapshot)); })
     , m_peers(m_controlContext,
               MakeOptions(m_settings.m_peer),
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -60,7 +60,6 @@
   bool m_idempotent = false;
   std::optional<IdempotencyKey> m_key; ///< Only of requests that are not idempotent.
   bool m_holdsKey = false;             ///< This request runs the key in the key table.
-  int m_attempt = 0;                   ///< Number of the attempt in flight; 0 when there is none.
   TimerHandle m_joinTimer;             ///< While it waits for another request with the same key.
 };
 
--- a/src/request/OutgoingCall.cpp
+++ b/src/request/OutgoingCall.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Millis kConnectTimeout{ 1'000 };
+/// Time for another entry VM's own refusal to arrive after the deadline.
+constexpr Millis kForwardMargin{ 100 };
 
 } // namespace
 
@@ -25,4 +27,14 @@
   return call;
 }
 
+HttpCall MakeForwardCall(const ActiveRequest& aActive,
+                         const std::string& aBaseUrl,
+                         const ForwardEnvelope& aEnvelope)
+{
+  HttpCall call = MakeOutgoingCall(aActive, aBaseUrl);
+  call.m_headers.push_back({ std::string(kForwardHeader), FormatForwardEnvelope(aEnvelope) });
+  call.m_timeout = aEnvelope.m_timeLeft + kForwardMargin;
+  return call;
+}
+
 } // namespace mustardtray
--- a/src/request/Router.cpp
+++ b/src/request/Router.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include <asio/post.hpp>
 #include <fmt/format.h>
 
 #include "mustardtray/process/Log.h"
@@ -22,8 +21,7 @@
 } // namespace
 
 Router::Router(asio::io_context& aContext, RouterOptions aOptions, Metrics& aMetrics)
-  : m_context(aContext)
-  , m_options(std::move(aOptions))
+  : m_options(std::move(aOptions))
   , m_timers(aContext)
   , m_client(aContext, m_options.m_outboundAddress)
   , m_metrics(std::make_unique<RoutingMetrics>(aMetrics))
@@ -98,56 +96,54 @@
   return active;
 }
 
-bool Router::Classify(ActiveRequest& aActive)
+bool Router::Classify(const ActivePointer& aActive)
 {
   const CompiledPointer& configuration = m_snapshot->m_configuration;
-  const HttpRequest& request = aActive.m_request;
+  const HttpRequest& request = aActive->m_request;
   const RequestRoute route =
     configuration ? configuration->FindRoute(request.m_method, request.m_path) : RequestRoute{};
-  const ActivePointer active = m_active.at(aActive.m_id);
   if (!configuration) {
-    Answer(active, NotRunAnswer(aActive.m_wireId, "no-configuration", kNoRouteRetryAfter), kNotRun);
+    Answer(
+      aActive, NotRunAnswer(aActive->m_wireId, "no-configuration", kNoRouteRetryAfter), kNotRun);
     return false;
   }
   if (!route.m_service) {
-    Answer(active, RejectedAnswer(404, aActive.m_wireId, "no-such-service"), kNotRun);
+    Answer(aActive, RejectedAnswer(404, aActive->m_wireId, "no-such-service"), kNotRun);
     return false;
   }
   if (!route.m_queue) {
-    Answer(active, RejectedAnswer(405, aActive.m_wireId, "no-queue-takes-this-request"), kNotRun);
+    Answer(aActive, RejectedAnswer(405, aActive->m_wireId, "no-queue-takes-this-request"), kNotRun);
     return false;
   }
   const QueueConfig& queue = *route.m_queue;
-  aActive.m_service = m_services.at(route.m_service->m_name);
-  aActive.m_queue = queue.m_name;
-  aActive.m_queueIndex = static_cast<std::size_t>(&queue - route.m_service->m_queues.data());
-  aActive.m_urgency = queue.m_urgency;
-  aActive.m_idempotent = queue.m_idempotent;
-  aActive.m_deadline = aActive.m_arrival + queue.m_deadline;
+  aActive->m_service = m_services.at(route.m_service->m_name);
+  aActive->m_queue = queue.m_name;
+  aActive->m_queueIndex = static_cast<std::size_t>(&queue - route.m_service->m_queues.data());
+  aActive->m_urgency = queue.m_urgency;
+  aActive->m_idempotent = queue.m_idempotent;
+  aActive->m_deadline = aActive->m_arrival + queue.m_deadline;
   return true;
 }
 
-bool Router::ReadKey(ActiveRequest& aActive)
+bool Router::ReadKey(const ActivePointer& aActive)
 {
-  const std::string* text = aActive.m_request.Header(kIdempotencyKeyHeader);
-  if (!text || aActive.m_idempotent) {
+  const std::string* text = aActive->m_request.Header(kIdempotencyKeyHeader);
+  if (!text || aActive->m_idempotent) {
     return true;
   }
   Result<IdempotencyKey> key = ParseIdempotencyKey(*text);
   if (key.has_error()) {
-    Answer(m_active.at(aActive.m_id),
-           RejectedAnswer(400, aActive.m_wireId, key.error().m_message),
-           kNotRun);
+    Answer(aActive, RejectedAnswer(400, aActive->m_wireId, key.error().m_message), kNotRun);
     return false;
   }
-  aActive.m_key = key.value();
+  aActive->m_key = key.value();
   return true;
 }
 
 void Router::HandleCaller(HttpRequest aRequest, HttpResponder aResponder)
 {
   const ActivePointer active = MakeActive(std::move(aRequest), std::move(aResponder));
-  if (Classify(*active) && ReadKey(*active)) {
+  if (Classify(active) && ReadKey(active)) {
     Route(active);
   }
 }
@@ -162,7 +158,7 @@
     return;
   }
   active->m_wireId = envelope.value().m_requestId;
-  if (!Classify(*active) || !ReadKey(*active)) {
+  if (!Classify(active) || !ReadKey(active)) {
     return;
   }
   active->m_hops = envelope.value().m_hops;
--- a/src/request/RouterAttempts.cpp
+++ b/src/request/RouterAttempts.cpp
@@ -19,8 +19,6 @@
 
 /// Time beyond the longest run that a call may take before its connection is given up.
 constexpr Millis kCallMargin{ 1'000 };
-/// Time for another entry VM's own refusal to arrive after the deadline.
-constexpr Millis kForwardMargin{ 100 };
 
 /// How an attempt ended, from what came back.
 AttemptOutcome OutcomeOf(const HttpCallResult& aResult,
@@ -63,7 +61,6 @@
   std::shared_ptr<ServiceState> m_service;
   Target m_target;
   std::string m_id;
-  int m_number = 0;
   TimePoint m_start;
   TimerHandle m_timeout;
   bool m_isReported = false; ///< The scheduler knows how it ended.
@@ -83,20 +80,18 @@
                           const Assignment& aAssignment,
                           const std::string& aBaseUrl) const
 {
-  HttpCall call = MakeOutgoingCall(aActive, aBaseUrl);
   const Millis left = CeilMillis(aAssignment.m_timeout);
   if (aAssignment.m_target.m_kind == TargetKind::EntryVm) {
     const ForwardEnvelope envelope{ ForwardKind::Room,  aActive.m_wireId,
                                     m_options.m_node,   left,
                                     aAssignment.m_hops, 0 };
-    call.m_headers.push_back({ std::string(kForwardHeader), FormatForwardEnvelope(envelope) });
-    call.m_timeout = left + kForwardMargin;
-  } else {
-    call.m_headers.push_back(
-      { std::string(kRequestIdHeader), AttemptId(aActive.m_wireId, aAssignment.m_attempt) });
-    call.m_headers.push_back({ std::string(kTimeoutHeader), std::to_string(left.count()) });
-    call.m_timeout = std::max(left, aActive.m_service->m_maxRun) + kCallMargin;
+    return MakeForwardCall(aActive, aBaseUrl, envelope);
   }
+  HttpCall call = MakeOutgoingCall(aActive, aBaseUrl);
+  call.m_headers.push_back(
+    { std::string(kRequestIdHeader), AttemptId(aActive.m_wireId, aAssignment.m_attempt) });
+  call.m_headers.push_back({ std::string(kTimeoutHeader), std::to_string(left.count()) });
+  call.m_timeout = std::max(left, aActive.m_service->m_maxRun) + kCallMargin;
   return call;
 }
 
@@ -104,7 +99,6 @@
                           const Assignment& aAssignment)
 {
   const ActivePointer active = m_active.at(aAssignment.m_request);
-  active->m_attempt = aAssignment.m_attempt;
   m_metrics->CountRoute(aService->m_name, aAssignment.m_reason);
   Log(LogCategory::Routing,
       LogLevel::Info,
@@ -127,7 +121,6 @@
   attempt->m_active = active;
   attempt->m_service = aService;
   attempt->m_target = aAssignment.m_target;
-  attempt->m_number = aAssignment.m_attempt;
   attempt->m_id = AttemptId(active->m_wireId, aAssignment.m_attempt);
   attempt->m_start = MonotonicNow();
   const std::string baseUrl = BaseUrl(*aService, aAssignment.m_target);
@@ -186,7 +179,6 @@
   aAttempt->m_timeout.Cancel();
   const ActivePointer active = aAttempt->m_active;
   const TimePoint now = MonotonicNow();
-  active->m_attempt = 0;
   m_metrics->CountAttempt(aAttempt->m_service->m_name, aOutcome);
   const AttemptVerdict verdict = aAttempt->m_service->m_scheduler.OnFinished(
     now, active->m_id, aOutcome, now - aAttempt->m_start);
--- a/src/request/RouterKeys.cpp
+++ b/src/request/RouterKeys.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Time for another entry VM's own refusal to arrive after the deadline.
-constexpr Millis kForwardMargin{ 100 };
 constexpr Millis kRetryAfter{ 1'000 };
 
 } // namespace
@@ -106,12 +104,10 @@
     return;
   }
   const Millis left = CeilMillis(aActive->m_deadline - MonotonicNow());
-  ForwardEnvelope envelope{ ForwardKind::Owner, aActive->m_wireId, m_options.m_node, left, {},
-                            aRecord.m_epoch };
-  HttpCall call = MakeOutgoingCall(*aActive, peer->second.m_forwardUrl);
+  const ForwardEnvelope envelope{ ForwardKind::Owner, aActive->m_wireId, m_options.m_node, left, {},
+                                  aRecord.m_epoch };
+  HttpCall call = MakeForwardCall(*aActive, peer->second.m_forwardUrl, envelope);
   call.m_step = "forward to key owner";
-  call.m_headers.push_back({ std::string(kForwardHeader), FormatForwardEnvelope(envelope) });
-  call.m_timeout = left + kForwardMargin;
   m_client.Start(std::move(call), [this, aActive](HttpCallResult aResult) {
     OnOwnerAnswer(aActive, std::move(aResult));
   });
