Process: the configuration's operator hooks are made in one place

Cause: the config service and the tests' operator server built the same four hooks line by line (found by a listing of duplicates). The test server now calls MakeConfigHooks; no assertion changed. The daemon's own hooks are left: they do not poll at once after an acceptance, so joining them would change behaviour.

--- a/include/mustardtray/process/ConfigService.h
+++ b/include/mustardtray/process/ConfigService.h
@@ -41,6 +41,30 @@
   std::uint64_t m_next = 0;
 };
 
+/// The operators' hooks that concern the configuration. They call both, which must outlive them; an
+/// accepted change is read at once instead of at the next poll.
+template<PlatformAccess P>
+OperatorHooks MakeConfigHooks(ConfigAgent<P>& aAgent, ConfigStore<P>& aStore)
+{
+  OperatorHooks hooks;
+  hooks.m_apply = [&aAgent, &aStore](ApplyRequest aRequest,
+                                     std::function<void(ApplyOutcome)> aDone) {
+    aStore.Apply(std::move(aRequest), [&aAgent, done = std::move(aDone)](ApplyOutcome aOutcome) {
+      aAgent.Poll();
+      done(std::move(aOutcome));
+    });
+  };
+  hooks.m_history = [&aStore](std::size_t aCount, Callback<std::vector<Json>> aDone) {
+    aStore.History(aCount, std::move(aDone));
+  };
+  hooks.m_findOperation = [&aStore](const std::string& aId,
+                                    Callback<std::optional<std::uint64_t>> aDone) {
+    aStore.FindOperation(aId, std::move(aDone));
+  };
+  hooks.m_document = [&aAgent] { return aAgent.Replica().Document(); };
+  return hooks;
+}
+
 template<PlatformAccess P>
 class ConfigService
 {
@@ -67,26 +91,8 @@
   const ConfigAgent<P>& Agent() const { return m_agent; }
   ConfigStore<P>& Store() { return m_store; }
 
-  /// The hooks that concern the configuration; the daemon adds those of peers and fleet.
-  OperatorHooks MakeHooks()
-  {
-    OperatorHooks hooks;
-    hooks.m_apply = [this](ApplyRequest aRequest, std::function<void(ApplyOutcome)> aDone) {
-      m_store.Apply(std::move(aRequest), [this, done = std::move(aDone)](ApplyOutcome aOutcome) {
-        m_agent.Poll();
-        done(std::move(aOutcome));
-      });
-    };
-    hooks.m_history = [this](std::size_t aCount, Callback<std::vector<Json>> aDone) {
-      m_store.History(aCount, std::move(aDone));
-    };
-    hooks.m_findOperation = [this](const std::string& aId,
-                                   Callback<std::optional<std::uint64_t>> aDone) {
-      m_store.FindOperation(aId, std::move(aDone));
-    };
-    hooks.m_document = [this] { return m_agent.Replica().Document(); };
-    return hooks;
-  }
+  /// The hooks that concern the configuration; others add those of peers and fleet.
+  OperatorHooks MakeHooks() { return MakeConfigHooks(m_agent, m_store); }
 
 private:
   TimerService& m_timers;
--- a/tests/support/OperatorServer.h
+++ b/tests/support/OperatorServer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "mustardtray/process/ConfigAgent.h"
+#include "mustardtray/process/ConfigService.h"
 #include "mustardtray/process/ConfigStore.h"
 #include "mustardtray/process/OperatorListener.h"
 #include "tests/support/ContextThread.h"
@@ -51,21 +52,7 @@
 private:
   OperatorHooks Hooks()
   {
-    OperatorHooks hooks;
-    hooks.m_apply = [this](ApplyRequest aRequest, std::function<void(ApplyOutcome)> aDone) {
-      m_store.Apply(std::move(aRequest), [this, done = std::move(aDone)](ApplyOutcome aOutcome) {
-        m_agent.Poll();
-        done(std::move(aOutcome));
-      });
-    };
-    hooks.m_history = [this](std::size_t aCount, Callback<std::vector<Json>> aDone) {
-      m_store.History(aCount, std::move(aDone));
-    };
-    hooks.m_findOperation = [this](const std::string& aId,
-                                   Callback<std::optional<std::uint64_t>> aDone) {
-      m_store.FindOperation(aId, std::move(aDone));
-    };
-    hooks.m_document = [this] { return m_agent.Replica().Document(); };
+    OperatorHooks hooks = MakeConfigHooks(m_agent, m_store);
     hooks.m_compiled = [this] { return m_compiled; };
     hooks.m_status = [this] {
       FleetStatus status{ "self", m_agent.Version(), m_agent.IsPlatformReachable(), m_otherNodes };
