--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -68,8 +68,13 @@
   };
   for (const NamedPolicy& named : WavePolicies()) {
     const FleetPolicy policy = named.m_policy;
-    add(kWave, named, [=] { return RunWave(aDeployment, policy, false, aSeed); });
-    add(kWaveWithFaults, named, [=] { return RunWave(aDeployment, policy, true, aSeed); });
+    const bool isSafetyOff = !policy.m_rules.m_keepReserve || !policy.m_rules.m_awaitDrain;
+    if (!isSafetyOff) {
+      add(kWave, named, [=] { return RunWave(aDeployment, policy, false, aSeed); });
+    }
+    if (policy.m_takeOutsPerWave == 0) {
+      add(kWaveWithFaults, named, [=] { return RunWave(aDeployment, policy, true, aSeed); });
+    }
   }
   for (const NamedPolicy& named : MovePolicies()) {
     const FleetPolicy policy = named.m_policy;
--- a/bench/FleetWaveBench.cpp
+++ b/bench/FleetWaveBench.cpp
@@ -115,14 +115,22 @@
   {
     for (std::size_t i = 1; i < kControllers; ++i) {
       const std::string vm = MinionVm(0, static_cast<int>(i));
-      auto& controller = m_run.At(i);
-      controller.Drain(vm, fmt::format("operator-{}", i), [](const Result<std::string>&) {});
-      m_run.Time().After(Millis(60'000), [&controller, vm] {
-        controller.Release(vm, [](const Result<std::string>&) {});
+      const std::string id = fmt::format("operator-{}", i);
+      m_run.At(i).Drain(vm, id, [this, i, vm](const Result<std::string>& aResult) {
+        if (aResult) {
+          ReleaseLater(i, vm);
+        }
       });
     }
   }
 
+  void ReleaseLater(std::size_t aController, const std::string& aVm)
+  {
+    m_run.Time().After(Millis(60'000), [this, aController, aVm] {
+      m_run.At(aController).Release(aVm, [](const Result<std::string>&) {});
+    });
+  }
+
   FleetRun& m_run;
   std::mt19937_64 m_random;
 };
--- a/bench/VirtualPlatform.cpp
+++ b/bench/VirtualPlatform.cpp
@@ -26,11 +26,11 @@
       m_fleet.Time().After(back, [aDone] { aDone(AccessError(ErrorKind::Unavailable)); });
       return;
     }
-    const T result = aCall();
+    const auto result = std::make_shared<const T>(aCall());
     if (aIsAnswerLost) {
       m_fleet.Time().After(kAnswerTimeout, [aDone] { aDone(AccessError(ErrorKind::Unknown)); });
     } else {
-      m_fleet.Time().After(back, [aDone, result] { aDone(result); });
+      m_fleet.Time().After(back, [aDone, result] { aDone(*result); });
     }
   });
 }
--- a/include/mustardtray/process/fleet/FleetController.h
+++ b/include/mustardtray/process/fleet/FleetController.h
@@ -66,6 +66,7 @@
 
 private:
   static constexpr Millis kRoundTimeout{ 5'000 };
+  static constexpr Millis kListPeriod{ 5'000 }; ///< The list lags by more.
   static constexpr int kMaxTries = 20;
 
   struct PendingRequest
@@ -120,6 +121,7 @@
   std::uint64_t m_round = 0;
   bool m_isBusy = false;
   TimePoint m_roundStart{};
+  std::optional<TimePoint> m_listedAt; ///< When the VM list was last read.
   WallTime m_roundWall{};
 };
 
@@ -161,9 +163,15 @@
 template<PlatformAccess Platform>
 void FleetController<Platform>::ListVms()
 {
+  if (m_listedAt && m_roundStart - *m_listedAt < kListPeriod) {
+    Submit();
+    m_isBusy = false;
+    return;
+  }
   m_platform.ListVms(InRound<std::vector<VmListing>>([this](Result<std::vector<VmListing>> aList) {
     if (aList) {
       m_decider.TakeVmList(aList.value(), m_roundStart);
+      m_listedAt = m_roundStart;
     } else {
       Log(LogCategory::Fleet, LogLevel::Warning, "list-failed", "error", aList.error().Text());
     }
--- a/tests/process/fleet/FleetControllerTest.cpp
+++ b/tests/process/fleet/FleetControllerTest.cpp
@@ -33,3 +33,198 @@
   CHECK(run.Fleet().Faults().m_budgetExceedances == 0);
   CheckNothingBroken(run.Fleet().Faults());
 }
+
+namespace {
+
+/// What happens to the first controller's writes while a second one runs beside it.
+enum class WriteFault
+{
+  LoseAnswer,
+  End,
+  Hold, ///< Beyond the lease, so that the other controller takes over.
+};
+
+/// One wave over a fleet of two VMs of one service; the fault meets that write of the first
+/// controller. Returns whether the wave ended.
+bool RunWithFault(WriteFault aFault, int aWrite, FleetFaultCounts& aFaults, int& aWrites)
+{
+  const Deployment deployment{ "tiny", { 2 }, { 2, 1 }, { 1, 0 }, 0, 0 };
+  FleetRun run(deployment, 1);
+  FleetPolicy policy;
+  policy.m_lease = Millis(5'000);
+  policy.m_leaseGuard = Millis(1'000);
+  run.Fleet().Times().m_drainMost = Millis(2'000);
+  run.Fleet().Times().m_stop = Millis(2'000);
+  run.Fleet().Times().m_start = Millis(1'000);
+  run.Fleet().Times().m_rebootLeast = Millis(2'000);
+  run.Fleet().Times().m_rebootMost = Millis(4'000);
+  run.AddController(policy);
+  run.AddController(policy);
+  AccessFaults& faults = run.Access(0).Faults();
+  (aFault == WriteFault::LoseAnswer ? faults.m_loseAnswerOfWrite
+   : aFault == WriteFault::End      ? faults.m_endBeforeWrite
+                                    : faults.m_holdWrite) = aWrite;
+  faults.m_holdTime = Millis(30'000);
+  run.Settle();
+  const auto answer = run.StartWave(run.At(1), "w1");
+  const bool isEnded =
+    answer && run.RunUntil([&run] { return run.Fleet().IsMaintained(1); }, Millis(600'000));
+  run.RunFor(Millis(40'000));
+  aFaults = run.Fleet().Faults();
+  aWrites = run.Access(0).Writes();
+  return isEnded;
+}
+
+/// Meets each write in turn that the first controller makes in a run without faults.
+void MeetEachWrite(WriteFault aFault)
+{
+  FleetFaultCounts faults;
+  int writes = 0;
+  CHECK(RunWithFault(aFault, 0, faults, writes));
+  CHECK(writes > 10);
+  for (int write = 1; write <= writes; ++write) {
+    CAPTURE(write);
+    int seen = 0;
+    CHECK(RunWithFault(aFault, write, faults, seen));
+    CheckNothingBroken(faults);
+  }
+}
+
+std::string JoinedExplanation(const FleetRun::Controller& aController, const std::string& aVm)
+{
+  std::string text;
+  for (const std::string& line : aController.Explain(aVm)) {
+    text += line + "\n";
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("FleetController does no harm when the answer to any write is lost")
+{
+  MeetEachWrite(WriteFault::LoseAnswer);
+}
+
+TEST_CASE("FleetController does no harm when it ends before any write")
+{
+  MeetEachWrite(WriteFault::End);
+}
+
+TEST_CASE("FleetController does no harm when any write arrives after its lease has lapsed")
+{
+  MeetEachWrite(WriteFault::Hold);
+}
+
+TEST_CASE("FleetController waits for an entry VM that is cut off, and says so")
+{
+  for (const bool isAwaited : { true, false }) {
+    FleetRun run(SmallDeployment(), 2);
+    FleetPolicy policy;
+    policy.m_rules.m_awaitDrain = isAwaited;
+    auto& controller = run.AddController(policy);
+    run.Settle();
+    run.Fleet().SetCutOff("entry-1-2", true);
+    REQUIRE(run.StartWave(controller, "w1"));
+    run.RunFor(Millis(300'000));
+    CHECK((run.Fleet().Faults().m_stopsWithWork == 0) == isAwaited);
+    if (isAwaited) {
+      CHECK(
+        JoinedExplanation(controller, "one-01").find("entry VM entry-1-2 has not acknowledged") !=
+        std::string::npos);
+      run.Fleet().SetCutOff("entry-1-2", false);
+      CHECK(run.RunUntil([&run] { return run.Fleet().IsMaintained(1); }, kWaveLimit));
+      CHECK(run.Fleet().Faults().m_stopsWithWork == 0);
+    }
+  }
+}
+
+TEST_CASE("FleetController survives a crash at each phase of a maintenance")
+{
+  for (int second = 1; second <= 120; second += 12) {
+    CAPTURE(second);
+    FleetRun run(SmallDeployment(), 3);
+    auto& controller = run.AddController({});
+    run.Settle();
+    REQUIRE(run.StartWave(controller, "w1"));
+    run.RunFor(std::chrono::seconds(second));
+    run.Fleet().Crash("one-01", Millis(20'000));
+    CHECK(run.RunUntil([&run] { return run.Fleet().IsMaintained(1); }, kWaveLimit));
+    CHECK(run.Fleet().View().Ledger("one").m_value.OutCount() == 0);
+    CheckNothingBroken(run.Fleet().Faults());
+  }
+}
+
+TEST_CASE("FleetController pauses, resumes and cancels a wave")
+{
+  FleetRun run(SmallDeployment(), 4);
+  auto& controller = run.AddController({});
+  run.Settle();
+  REQUIRE(run.StartWave(controller, "w1"));
+  const auto ignore = [](const Result<std::string>& aResult) { CHECK(aResult); };
+  run.RunFor(Millis(60'000));
+  controller.Pause("w1", ignore);
+  run.RunFor(Millis(400'000));
+  const int done = controller.Progress("w1")->m_done;
+  CHECK(done > 0);
+  CHECK(done < controller.Progress("w1")->m_total);
+  CHECK(controller.Progress("w1")->m_out == 0);
+  controller.Resume("w1", ignore);
+  run.RunFor(Millis(5'000));
+  CHECK(controller.Progress("w1")->m_out > 0);
+  controller.Cancel("w1", ignore);
+  run.RunFor(Millis(400'000));
+  CHECK(controller.Progress("w1")->m_out == 0);
+  CHECK(run.Fleet().View().Ledger("one").m_value.OutCount() == 0);
+}
+
+TEST_CASE("FleetController halts a wave whose reboots fail, and goes on at the operator's word")
+{
+  for (const bool isHalting : { true, false }) {
+    FleetRun run(SmallDeployment(), 5);
+    FleetPolicy policy;
+    policy.m_rules.m_haltOnFailure = isHalting;
+    policy.m_rules.m_avoidFailedRack = false;
+    policy.m_rules.m_keepZoneMinion = false;
+    policy.m_rules.m_checkBudget = false;
+    policy.m_takeOutsPerWave = 4;
+    auto& controller = run.AddController(policy);
+    run.Settle();
+    for (const char* vm : { "one-01", "two-01", "one-03" }) {
+      run.Fleet().FailReboots(vm, 1'000);
+    }
+    REQUIRE(run.StartWave(controller, "w1"));
+    run.RunFor(Millis(1'200'000));
+    const auto progress = *controller.Progress("w1");
+    CHECK(progress.m_isHalted == isHalting);
+    CHECK((progress.m_waiting > 0) == isHalting);
+    if (isHalting) {
+      controller.Resume("w1", [](const Result<std::string>& aResult) { CHECK(aResult); });
+      run.RunFor(Millis(1'200'000));
+      CHECK(controller.Progress("w1")->m_done > progress.m_done);
+    }
+  }
+}
+
+TEST_CASE("FleetController carries out an operator's drain once and holds the VM")
+{
+  FleetRun run(SmallDeployment(), 6);
+  run.AddController({});
+  run.AddController({});
+  run.Settle();
+  int accepted = 0;
+  const auto count = [&accepted](const Result<std::string>& aResult) {
+    accepted += aResult ? 1 : 0;
+  };
+  run.At(0).Drain("one-01", "d1", count);
+  run.At(1).Drain("one-01", "d1", count);
+  run.RunFor(Millis(5'000));
+  run.At(1).Drain("one-02", "d2", count);
+  run.RunFor(Millis(60'000));
+  CHECK(accepted == 2);
+  CHECK(run.Fleet().View().Vm("one-01")->m_phase == VmPhase::Drained);
+  run.At(1).Release("one-01", count);
+  run.RunFor(Millis(10'000));
+  CHECK_FALSE(run.Fleet().View().Vm("one-01")->IsOut());
+  CHECK(run.Fleet().Faults().m_stopsWithWork == 0);
+}
