--- a/bench/FleetBench.cpp
+++ b/bench/FleetBench.cpp
@@ -166,13 +166,16 @@
                { "unserved_share", aResult.m_unservedShare } };
 }
 
-std::vector<FleetResult> RunFleetBench(int aSeeds, int aThreads)
+std::vector<FleetResult> RunFleetBench(int aSeeds, int aThreads, const std::string& aScenario)
 {
   std::vector<BenchTask> tasks;
   for (int seed = 1; seed <= aSeeds; ++seed) {
     AddTasks(WroblewskiDeployment(), seed, tasks);
     AddTasks(CascadiaDeployment(), seed, tasks);
   }
+  std::erase_if(tasks, [&aScenario](const BenchTask& aTask) {
+    return !aScenario.empty() && aTask.m_label.m_scenario != aScenario;
+  });
   std::vector<FleetResult> results(tasks.size());
   std::atomic<std::size_t> next{ 0 };
   std::vector<std::jthread> threads;
--- a/bench/FleetBench.h
+++ b/bench/FleetBench.h
@@ -31,8 +31,8 @@
 };
 
 Json ToJson(const FleetResult& aResult);
-/// All scenarios and policies over both deployments with seeds 1 to aSeeds.
-std::vector<FleetResult> RunFleetBench(int aSeeds, int aThreads);
+/// All policies over both deployments with seeds 1 to aSeeds, in the named scenario or in all.
+std::vector<FleetResult> RunFleetBench(int aSeeds, int aThreads, const std::string& aScenario);
 std::string SummaryTable(const std::vector<FleetResult>& aResults);
 /// Whether every run of the full policy meets the stated targets.
 bool MeetsTargets(const std::vector<FleetResult>& aResults);
--- a/bench/VirtualFleet.cpp
+++ b/bench/VirtualFleet.cpp
@@ -131,7 +131,7 @@
   }
   m_time.After(m_times.m_entryPeriod, [this, aName] { RunEntryVm(aName); });
   const bool isReading = !entryVm.m_isCutOff && !m_isStoreDown;
-  const bool isRegistered = !entryVm.m_written.is_null();
+  const bool isRegistered = entryVm.m_written.has_value();
   if (isReading && isRegistered) {
     const ScanPage page = m_table.Scan(std::string(kVmRowPrefix), entryVm.m_revision);
     entryVm.m_revision = page.m_revision;
@@ -178,15 +178,14 @@
 {
   const EntryReport report =
     BuildEntryReport(aEntryVm.m_identity, aEntryVm.m_view, aEntryVm.m_targets);
-  Json value = ToJson(report);
-  if (value == aEntryVm.m_written) {
+  if (report == aEntryVm.m_written) {
     return;
   }
   Transaction transaction;
   transaction.m_writes.push_back(
-    RowWrite{ std::string(kReportRowPrefix) + report.m_entryVm, value });
+    RowWrite{ std::string(kReportRowPrefix) + report.m_entryVm, ToJson(report) });
   Transact(transaction);
-  aEntryVm.m_written = std::move(value);
+  aEntryVm.m_written = report;
 }
 
 int VirtualFleet::InFlight(const std::string& aVm) const
--- a/bench/VirtualFleet.h
+++ b/bench/VirtualFleet.h
@@ -93,7 +93,7 @@
     std::uint64_t m_revision = 0;
     std::map<std::string, LocalTarget> m_targets;
     std::map<std::string, TimePoint> m_busyUntil; ///< Of targets that drain.
-    Json m_written;
+    std::optional<EntryReport> m_written;
     bool m_isCutOff = false;
     bool m_isGone = false;
   };
--- a/include/mustardtray/process/fleet/FleetRows.h
+++ b/include/mustardtray/process/fleet/FleetRows.h
@@ -112,6 +112,8 @@
   std::uint64_t m_generation = 0; ///< Of the VM row that the entry VM acts on.
   int m_inFlight = 0;             ///< Requests that it has running there.
   VmHealth m_health = VmHealth::Unknown;
+
+  bool operator==(const TargetReport&) const = default;
 };
 
 /// One row per entry VM, with the targets that are out or not healthy. An entry VM writes its row
@@ -125,6 +127,8 @@
   std::string m_zone;
   std::uint64_t m_incarnation = 0; ///< Grows with every start at an address.
   std::map<std::string, TargetReport> m_targets;
+
+  bool operator==(const EntryReport&) const = default;
 };
 
 Json ToJson(const LedgerRecord& aRecord);
--- a/src/process/fleet/FleetDecider.cpp
+++ b/src/process/fleet/FleetDecider.cpp
@@ -56,12 +56,16 @@
     return;
   }
   m_view.Apply(aPage);
+  bool hasVms = !aPage.m_deleted.empty();
   for (const Row& row : aPage.m_rows) {
+    hasVms = hasVms || row.m_key.starts_with(kVmRowPrefix);
     if (row.m_key.starts_with(kReportRowPrefix)) {
       NoteReport(row.m_key.substr(kReportRowPrefix.size()), aNow);
     }
   }
-  m_index = BuildFleetIndex(m_view, *m_configuration);
+  if (hasVms) {
+    m_index = BuildFleetIndex(m_view, *m_configuration);
+  }
 }
 
 void FleetDecider::TakeVmList(const std::vector<VmListing>& aList, TimePoint aNow)
--- a/tests/process/fleet/VmLifeCycleTest.cpp
+++ b/tests/process/fleet/VmLifeCycleTest.cpp
@@ -68,8 +68,8 @@
       if (kind == Begin || kind == Crashed || kind == Recovered) {
         continue;
       }
-      CAPTURE(name);
-      CAPTURE(ToName(phase));
+      const std::string step = std::string(name) + " in " + std::string(ToName(phase));
+      CAPTURE(step);
       const auto next = ApplyVmEvent(vm, EventOn(vm, kind));
       CHECK(next.has_value() == allowed.contains(kind));
       if (next) {
