Fleet: machines for a turn by its rate of arrivals

Cause: a pool got machines for the work at hand alone.

Ruled out: too few machines in all (25 of 48 were in pools on average); refusals (31 of 660).

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "mustardtray/job/Admission.h"
+#include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PoolState.h"
 #include "mustardtray/job/RunTimes.h"
@@ -42,6 +43,7 @@
   std::int64_t m_lastingCpu = 0;   ///< Needed by units that last.
   double m_backlogWork = 0;        ///< Accepted work that is not done, in core-milliseconds.
   double m_refusedWork = 0;        ///< Of jobs refused lately, in core-milliseconds.
+  double m_arrivingCores = 0;      ///< That the latest arrivals keep busy; see ArrivalRate.
   std::size_t m_spreadMinions = 0; ///< Minions that the widest lasting step has to be spread over.
 };
 
@@ -110,6 +112,8 @@
   PoolLoad Load(TimePoint aNow) const;
   /// A job was refused: its work is demand all the same.
   void OnRefused(const JobRecord& aRecord, TimePoint aNow);
+  /// A caller asks for a job for the first time, whatever becomes of it.
+  void OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow);
 
   MinionTable& Minions() { return m_minions; }
   const MinionTable& Minions() const { return m_minions; }
@@ -199,6 +203,7 @@
   std::set<std::string> m_unsaved;
   std::map<std::string, std::size_t> m_waitingByQueue;
   RunTimes m_runTimes;
+  ArrivalRate m_arrivals;
   std::deque<std::pair<TimePoint, double>> m_refused; ///< Work of jobs refused lately.
   PoolOrders m_orders;
 };
--- /dev/null
+++ b/src/job/ArrivalRate.cpp
@@ -0,0 +1,35 @@
+#include "mustardtray/job/ArrivalRate.h"
+
+#include <algorithm>
+
+namespace mustardtray::job {
+
+namespace {
+
+/// Short, because a machine takes over a second to come; long enough to hold several arrivals.
+constexpr Millis kWindow{ 600 };
+
+} // namespace
+
+void ArrivalRate::Add(TimePoint aAt, double aWork)
+{
+  m_arrivals.push_back({ aAt, aWork });
+  while (aAt - m_arrivals.front().m_at > kWindow) {
+    m_arrivals.pop_front();
+  }
+}
+
+double ArrivalRate::Cores(TimePoint aNow) const
+{
+  double sum = 0;
+  double largest = 0;
+  for (const Arrival& arrival : m_arrivals) {
+    if (aNow - arrival.m_at <= kWindow) {
+      sum += arrival.m_work;
+      largest = std::max(largest, arrival.m_work);
+    }
+  }
+  return (sum - largest) / static_cast<double>(kWindow.count());
+}
+
+} // namespace mustardtray::job
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -326,6 +326,14 @@
   }
 }
 
+void PoolScheduler::OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow)
+{
+  if (!aRecord.m_spec.IsLasting() && aRecord.m_spec.m_repeatCount == 0) {
+    m_arrivals.Add(aNow,
+                   EstimatedWork(aRecord.m_spec) * m_runTimes.Factor(aRecord.m_terms.m_queue));
+  }
+}
+
 PoolLoad PoolScheduler::Load(TimePoint aNow) const
 {
   PoolLoad load;
@@ -352,6 +360,7 @@
     }
   }
   load.m_backlogWork = MeasureBacklog(aNow).m_all;
+  load.m_arrivingCores = m_arrivals.Cores(aNow);
   for (const auto& [at, work] : m_refused) {
     load.m_refusedWork += aNow - at <= kRefusalMemory ? work : 0;
   }
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -50,6 +50,9 @@
   }
   const TimePoint now = LeaseClockNow();
   const Millis waited = std::chrono::duration_cast<Millis>(now - FirstSeen(id));
+  if (!m_refusedFirstAt.contains(id)) {
+    m_scheduler.OnFirstAttempt(aRecord, now);
+  }
   const job::AdmissionVerdict verdict = m_scheduler.Judge(aRecord, waited, now);
   Log(LogCategory::Placement,
       LogLevel::Info,
--- /dev/null
+++ b/tests/job/ArrivalRateTest.cpp
@@ -0,0 +1,36 @@
+#include "mustardtray/job/ArrivalRate.h"
+
+#include <doctest/doctest.h>
+
+using namespace mustardtray;
+using namespace mustardtray::job;
+
+namespace {
+
+TimePoint At(int aMs)
+{
+  return TimePoint{ Micros(10'000'000 + aMs * 1'000) };
+}
+
+} // namespace
+
+TEST_CASE("a turn shows in the rate within half a second")
+{
+  ArrivalRate rate;
+  // 30 jobs a second of 33 core-seconds each: 990 cores.
+  int ms = 0;
+  for (; ms < 500; ms += 33) {
+    rate.Add(At(ms), 33'000);
+  }
+  CHECK(rate.Cores(At(ms)) > 500);
+}
+
+TEST_CASE("a single large job is no trend, and old arrivals say nothing")
+{
+  ArrivalRate rate;
+  rate.Add(At(0), 200'000);
+  CHECK(rate.Cores(At(1)) == doctest::Approx(0));
+  rate.Add(At(100), 200'000);
+  CHECK(rate.Cores(At(101)) > 0);
+  CHECK(rate.Cores(At(2'000)) == doctest::Approx(0));
+}
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -132,3 +132,22 @@
     fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
   CHECK(plan.m_orders.empty());
 }
+
+TEST_CASE("a turn brings machines by its rate of arrivals, long before its work has piled up")
+{
+  // A quarter of a second into a turn of 120 cores: 30 core-seconds are at hand.
+  const auto machinesOrdered = [](double aArrivingCores) {
+    FleetFixture fixture;
+    PoolReport report;
+    report.m_load.m_capacityCpu = 64'000;
+    report.m_load.m_backlogWork = 30'000;
+    report.m_load.m_arrivingCores = aArrivingCores;
+    report.m_reportedAt = fixture.m_now;
+    fixture.m_planner.SetReport("hot", report);
+    fixture.Report("cold", 0, {});
+    return fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now)
+      .m_orders.size();
+  };
+  CHECK(machinesOrdered(0) == 0);
+  CHECK(machinesOrdered(120) == 4);
+}
