Fleet: a machine that has arrived can be ordered on at once

Change: the list is read every 0.4 s, and an entry of a list asked for after the order, up and in its new pool, ends the wait.

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -59,7 +59,8 @@
   {
   }
 
-  void SetMachines(std::vector<Machine> aMachines, TimePoint aNow);
+  /// aAskedAt: when the list was asked for.
+  void SetMachines(std::vector<Machine> aMachines, TimePoint aAskedAt);
   void AddWave(const WaveRequest& aRequest, std::set<std::string> aBegun);
   /// What the owner of a shard says.
   void SetReport(const std::string& aPool, PoolReport aReport);
@@ -108,9 +109,16 @@
   TimePoint m_listedAt{};
   std::map<std::uint64_t, WaveState> m_waves;
   std::map<std::string, PoolReport> m_reports;
-  std::map<std::string, TimePoint> m_awayUntil; ///< Machines under an order of ours.
-  std::map<std::string, TimePoint> m_notBefore; ///< Machines whose order failed.
-  std::set<std::string> m_chosen;               ///< Machines cordoned for maintenance.
+  /// An order of ours that was carried out.
+  struct DoneOrder
+  {
+    TimePoint m_doneAt{};
+    TimePoint m_awayUntil{}; ///< Latest time at which the machine is still away for it.
+    std::string m_movedTo;   ///< Destination of a move; empty for maintenance.
+  };
+  std::map<std::string, DoneOrder> m_doneOrders; ///< By machine; the latest one.
+  std::map<std::string, TimePoint> m_notBefore;  ///< Machines whose order failed.
+  std::set<std::string> m_chosen;                ///< Machines cordoned for maintenance.
   /// A move that waits for its machine to be clear.
   struct ChosenMove
   {
@@ -119,7 +127,6 @@
     TimePoint m_at{};
   };
   std::map<std::string, ChosenMove> m_chosenMoves;
-  std::map<std::string, std::string> m_movingTo;   ///< Machines whose move was ordered.
   std::map<std::string, TimePoint> m_surplusSince; ///< By pool.
 };
 
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// From an order to the machine's return in the list: the list is read once a second.
+/// From the end of an order to the machine's return in a list that was read in time.
 constexpr Millis kListLag{ 1'200 };
 constexpr Millis kOrderRetry{ 700 };
 /// A report that is older says nothing of the load any more.
@@ -27,13 +27,20 @@
 
 } // namespace
 
-void FleetPlanner::SetMachines(std::vector<Machine> aMachines, TimePoint aNow)
+void FleetPlanner::SetMachines(std::vector<Machine> aMachines, TimePoint aAskedAt)
 {
   m_machines.clear();
   for (Machine& machine : aMachines) {
+    const auto order = m_doneOrders.find(machine.m_name);
+    const bool hasArrived = order != m_doneOrders.end() && aAskedAt > order->second.m_doneAt &&
+                            machine.m_state == MachineState::Up &&
+                            machine.m_pool == order->second.m_movedTo;
+    if (hasArrived) {
+      m_doneOrders.erase(order);
+    }
     m_machines.emplace(machine.m_name, std::move(machine));
   }
-  m_listedAt = aNow;
+  m_listedAt = aAskedAt;
 }
 
 void FleetPlanner::AddWave(const WaveRequest& aRequest, std::set<std::string> aBegun)
@@ -52,13 +59,11 @@
 void FleetPlanner::OnOrderDone(const MachineOrder& aOrder, TimePoint aNow)
 {
   const Millis away = aOrder.m_wave > 0 ? m_times.m_upkeepTime : m_times.m_moveTime;
-  m_awayUntil[aOrder.m_machine] = aNow + away + kListLag;
+  m_doneOrders[aOrder.m_machine] = { aNow, aNow + away + kListLag, aOrder.m_pool };
   m_chosen.erase(aOrder.m_machine);
   m_chosenMoves.erase(aOrder.m_machine);
   if (aOrder.m_wave > 0) {
     m_waves.at(aOrder.m_wave).m_begun.insert(aOrder.m_machine);
-  } else {
-    m_movingTo[aOrder.m_machine] = aOrder.m_pool;
   }
 }
 
@@ -135,8 +140,8 @@
 
 bool FleetPlanner::IsUnderOrder(const std::string& aMachine, TimePoint aNow) const
 {
-  const auto away = m_awayUntil.find(aMachine);
-  return away != m_awayUntil.end() && aNow < away->second;
+  const auto order = m_doneOrders.find(aMachine);
+  return order != m_doneOrders.end() && aNow < order->second.m_awayUntil;
 }
 
 bool FleetPlanner::MayOrder(const std::string& aMachine, TimePoint aNow) const
@@ -164,10 +169,10 @@
   std::map<std::string, std::size_t> counts;
   for (const auto& [name, machine] : m_machines) {
     cpu += machine.m_capacity.m_cpu;
-    const auto moving = m_movingTo.find(name);
-    const bool isMoving = moving != m_movingTo.end() && IsUnderOrder(name, aNow);
+    const auto order = m_doneOrders.find(name);
+    const bool isMoving = IsUnderOrder(name, aNow) && !order->second.m_movedTo.empty();
     if (machine.m_state != MachineState::Down) {
-      ++counts[isMoving ? m_shards.Of(moving->second, name) : ShardOf(machine)];
+      ++counts[isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine)];
     }
   }
   std::vector<PoolBalance> balances;
--- a/src/node/FleetHolder.cpp
+++ b/src/node/FleetHolder.cpp
@@ -13,7 +13,8 @@
 
 constexpr const char* kWaveTable = "wave-progress";
 constexpr Millis kPlanPeriod{ 200 };
-constexpr Millis kListPeriod{ 1'000 };
+/// Short beside the time of a move: a machine that has arrived can be ordered on.
+constexpr Millis kListPeriod{ 400 };
 constexpr Millis kCallTimeout{ 1'500 };
 /// With less of the lease left, no order is given.
 constexpr Millis kShortestOrder{ 400 };
@@ -125,23 +126,23 @@
     return;
   }
   m_isListing = true;
-  m_context.m_machines.List(
-    kCallTimeout,
-    [this, alive = std::weak_ptr<int>(m_alive)](Result<std::vector<job::Machine>> aList) {
-      if (alive.expired()) {
-        return;
-      }
-      m_isListing = false;
-      if (!aList) {
-        Log(LogCategory::Fleet,
-            LogLevel::Warning,
-            "machine-list-failed",
-            "error",
-            aList.error().Text());
-        return;
-      }
-      m_planner.SetMachines(std::move(aList.value()), LeaseClockNow());
-    });
+  m_context.m_machines.List(kCallTimeout,
+                            [this, askedAt = LeaseClockNow(), alive = std::weak_ptr<int>(m_alive)](
+                              Result<std::vector<job::Machine>> aList) {
+                              if (alive.expired()) {
+                                return;
+                              }
+                              m_isListing = false;
+                              if (!aList) {
+                                Log(LogCategory::Fleet,
+                                    LogLevel::Warning,
+                                    "machine-list-failed",
+                                    "error",
+                                    aList.error().Text());
+                                return;
+                              }
+                              m_planner.SetMachines(std::move(aList.value()), askedAt);
+                            });
 }
 
 void FleetHolder::Tick()
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -151,3 +151,29 @@
   CHECK(machinesOrdered(0) == 0);
   CHECK(machinesOrdered(120) == 4);
 }
+
+TEST_CASE("a machine that has arrived can be ordered on at once, and not before")
+{
+  FleetFixture fixture;
+  fixture.m_planner.OnOrderDone({ "spare0", 0, "cold", "spare" }, fixture.m_now);
+  fixture.m_planner.OnOrderDone({ "cold0", 0, "spare", "cold" }, fixture.m_now);
+  const auto orders = [&] {
+    fixture.Report("hot", 600'000, {});
+    fixture.Report("cold", 0, {});
+    std::set<std::string> machines;
+    for (const MachineOrder& order :
+         fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now).m_orders) {
+      machines.insert(order.m_machine);
+    }
+    return machines;
+  };
+  // A list that was asked for before the order says nothing of it.
+  fixture.m_machines[4].m_pool = "spare";
+  fixture.m_planner.SetMachines(fixture.m_machines, fixture.m_now - Millis(100));
+  CHECK_FALSE(orders().contains("cold0"));
+  CHECK_FALSE(orders().contains("spare0"));
+  fixture.m_now += Millis(1'600);
+  fixture.m_planner.SetMachines(fixture.m_machines, fixture.m_now);
+  CHECK(orders().contains("cold0"));
+  CHECK_FALSE(orders().contains("spare0"));
+}
