Fleet: a job asks for the cores that it can use

Cause: a pool's need was its work over 1.5 s.

Change: each job counts with its work over 1.5 s or its widest step, whichever is less.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -39,11 +39,10 @@
 {
   std::int64_t m_capacityCpu = 0; ///< Of minions that take work.
   std::int64_t m_usedCpu = 0;
-  std::int64_t m_waitingCpu = 0;   ///< Of units that could start at once if there were room.
-  std::int64_t m_lastingCpu = 0;   ///< Needed by units that last.
-  double m_backlogWork = 0;        ///< Accepted work that is not done, in core-milliseconds.
-  double m_refusedWork = 0;        ///< Of jobs refused lately, in core-milliseconds.
-  double m_arrivingCores = 0;      ///< That the latest arrivals keep busy; see ArrivalRate.
+  std::int64_t m_waitingCpu = 0; ///< Of units that could start at once if there were room.
+  std::int64_t m_lastingCpu = 0; ///< Needed by units that last.
+  double m_backlogCores = 0;     ///< That accepted jobs and those refused lately could use at once.
+  double m_arrivingCores = 0;    ///< That the latest arrivals keep busy; see ArrivalRate.
   std::size_t m_spreadMinions = 0; ///< Minions that the widest lasting step has to be spread over.
 };
 
@@ -185,6 +184,9 @@
   };
   Backlog MeasureBacklog(TimePoint aNow) const;
   bool IsLate(const Job& aJob, TimePoint aNow) const;
+  /// Cores with which the job's work is done within a short objective, but not more than it can
+  /// use.
+  double UsableCores(const Job& aJob) const;
   void OnFirstStart(Job& aJob);
   void EvacuateCordoned(TimePoint aNow);
   bool MayTakeAway(const Run& aRun, TimePoint aNow) const;
@@ -204,7 +206,7 @@
   std::map<std::string, std::size_t> m_waitingByQueue;
   RunTimes m_runTimes;
   ArrivalRate m_arrivals;
-  std::deque<std::pair<TimePoint, double>> m_refused; ///< Work of jobs refused lately.
+  std::deque<std::pair<TimePoint, double>> m_refused; ///< Cores that jobs refused lately could use.
   PoolOrders m_orders;
 };
 
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -13,8 +13,6 @@
 constexpr Millis kOrderRetry{ 700 };
 /// A report that is older says nothing of the load any more.
 constexpr Millis kReportAge{ 1'500 };
-/// The work at hand should be done within this time: about the objective of a short job.
-constexpr Millis kBacklogHorizon{ 1'500 };
 /// Minions are never full to the last core, and what came before the machines has to be caught up.
 constexpr double kArrivalMargin = 1.2;
 /// Machines that a pool keeps whatever its load, so that a trickle finds room.
@@ -193,10 +191,8 @@
       continue;
     }
     const PoolLoad& load = found->second.m_load;
-    // Thousandths of a core that finish the work at hand within the horizon.
-    const double backlog = (load.m_backlogWork + load.m_refusedWork) * 1'000.0 /
-                           static_cast<double>(kBacklogHorizon.count());
-    const double batch = std::max(backlog, load.m_arrivingCores * 1'000.0 * kArrivalMargin);
+    const double cores = std::max(load.m_backlogCores, load.m_arrivingCores * kArrivalMargin);
+    const double batch = cores * 1'000.0; // In thousandths of a core, as capacities are.
     const double need = (static_cast<double>(load.m_lastingCpu) + batch) / machineCpu;
     PoolBalance balance;
     balance.m_pool = shard;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -320,7 +320,10 @@
 
 void PoolScheduler::OnRefused(const JobRecord& aRecord, TimePoint aNow)
 {
-  m_refused.emplace_back(aNow, EstimatedWork(aRecord.m_spec));
+  Job job;
+  job.m_record = aRecord;
+  job.m_occurrences.emplace(0, MakeOccurrence(aRecord.m_spec, aNow));
+  m_refused.emplace_back(aNow, UsableCores(job));
   while (aNow - m_refused.front().first > kRefusalMemory) {
     m_refused.pop_front();
   }
@@ -359,10 +362,12 @@
       }
     }
   }
-  load.m_backlogWork = MeasureBacklog(aNow).m_all;
+  for (const Job* job : m_active) {
+    load.m_backlogCores += UsableCores(*job);
+  }
   load.m_arrivingCores = m_arrivals.Cores(aNow);
-  for (const auto& [at, work] : m_refused) {
-    load.m_refusedWork += aNow - at <= kRefusalMemory ? work : 0;
+  for (const auto& [at, cores] : m_refused) {
+    load.m_backlogCores += aNow - at <= kRefusalMemory ? cores : 0;
   }
   return load;
 }
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Work at hand should be done within this time: about the objective of a short job.
+constexpr Millis kBacklogHorizon{ 1'500 };
+
 /// Estimated work of some units of a step, for what they reserve.
 double CoreMillis(const StepSpec& aSpec, std::uint32_t aUnits)
 {
@@ -108,6 +111,24 @@
   return backlog;
 }
 
+double PoolScheduler::UsableCores(const Job& aJob) const
+{
+  const double factor = m_runTimes.Factor(aJob.m_record.m_terms.m_queue);
+  double work = 0;
+  double widest = 0;
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const StepSpec& spec = aJob.m_record.m_spec.m_steps[s];
+      const std::uint32_t left = spec.m_count - occurrence.m_steps[s].m_doneCount;
+      if (!spec.m_isLasting) {
+        work += CoreMillis(spec, left) * factor;
+        widest = std::max(widest, left * static_cast<double>(spec.Reserved().m_cpu) / 1'000.0);
+      }
+    }
+  }
+  return std::min(work / static_cast<double>(kBacklogHorizon.count()), widest);
+}
+
 bool PoolScheduler::IsLate(const Job& aJob, TimePoint aNow) const
 {
   return aJob.m_isLate || (aJob.m_record.m_spec.m_repeatCount == 0 && aNow > aJob.m_objectiveAt);
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -262,3 +262,18 @@
   CHECK(orders.m_paces[0].m_unit == "j.0.1.0");
   CHECK(orders.m_paces[0].m_percent < 100);
 }
+
+TEST_CASE("a long job asks for the cores that it can use, not for those that its work would fill")
+{
+  PoolFixture fixture;
+  // Ten steps of 4 cores for a second each, one after another: 40 core-seconds, never more than 4
+  // cores.
+  JobRecord record = MakeJob("0123456789abcdef", 4);
+  for (std::uint32_t s = 1; s < 10; ++s) {
+    record.m_spec.m_steps.push_back(record.m_spec.m_steps[0]);
+    record.m_spec.m_steps.back().m_after = { s - 1 };
+  }
+  fixture.m_pool.AddJob(record, fixture.m_now, false);
+  fixture.Decide();
+  CHECK(fixture.m_pool.Load(fixture.m_now).m_backlogCores == doctest::Approx(4));
+}
