Fleet: a new holder of machine orders holds back only announced machines

Cause: two holders must not give orders to one machine within 3 s of each other, and a new holder waited 3.3 s before its first order to any machine.

Ruled out: naming the node that started last as successor; the holder changes just as often.

Change: a machine is announced in the store before its first order, and a successor holds back only the machines that it finds announced. The order follows a fresh answer of the pool's owner after the write.

--- a/src/node/FleetHolder.cpp
+++ b/src/node/FleetHolder.cpp
@@ -1,5 +1,7 @@
 #include "node/FleetHolder.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "mustardtray/process/Log.h"
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr const char* kWaveTable = "wave-progress";
+constexpr const char* kAnnouncedTable = "announced"; ///< Machines under orders of late; one row.
 constexpr Millis kPlanPeriod{ 200 };
 /// Short beside the time of a move: a machine that has arrived can be ordered on.
 constexpr Millis kListPeriod{ 400 };
@@ -25,6 +28,27 @@
 /// Beyond the time in which two holders must not take turns, for orders that were under way.
 constexpr Millis kOrderMargin{ 300 };
 
+/// Machines of a row that this class wrote; none when it cannot be read.
+std::set<std::string> DecodeMachines(const platform::Row& aRow)
+{
+  const json machines = json::parse(aRow.m_value, nullptr, false);
+  const bool isReadable =
+    machines.is_array() && std::all_of(machines.begin(), machines.end(), [](const json& aMachine) {
+      return aMachine.is_string();
+    });
+  if (!isReadable) {
+    Log(LogCategory::Fleet,
+        LogLevel::Error,
+        "machines-unreadable",
+        "table",
+        aRow.m_at.m_table,
+        "key",
+        aRow.m_at.m_key);
+    return {};
+  }
+  return machines.get<std::set<std::string>>();
+}
+
 } // namespace
 
 FleetHolder::FleetHolder(NodeContext& aContext,
@@ -37,12 +61,9 @@
   , m_planner(
       { aContext.m_settings.m_bounds.m_upkeepTime, aContext.m_settings.m_bounds.m_moveTime })
   , m_journal(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
+  , m_announced(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin)
 {
-  const bool isFirst = aClaim.m_epoch == 0;
-  m_mayOrderAt =
-    LeaseClockNow() +
-    (isFirst ? Millis{ 0 } : aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin);
-  LoadWaves();
+  Load();
   m_listTimer = m_context.m_timers.Every(kListPeriod, 0, [this] { ListMachines(); });
   ListMachines();
   m_tick = m_context.m_timers.Every(kPlanPeriod, 0, [this] { Tick(); });
@@ -53,49 +74,55 @@
   m_journal.Close();
 }
 
-void FleetHolder::LoadWaves()
+void FleetHolder::Load()
+{
+  m_tablesLeft = 3;
+  LoadTable(kHeadTable,
+            [this](const std::vector<platform::Row>& aRows) { m_journal.SetHead(aRows); });
+  LoadTable(kAnnouncedTable, [this](const std::vector<platform::Row>& aRows) {
+    for (const platform::Row& row : aRows) {
+      m_announced.Inherit(DecodeMachines(row), LeaseClockNow());
+    }
+  });
+  LoadTable(kWaveTable, [this](const std::vector<platform::Row>& aRows) {
+    for (const platform::Row& row : aRows) {
+      m_storedWaves[std::strtoull(row.m_at.m_key.c_str(), nullptr, 10)] = DecodeMachines(row);
+    }
+  });
+}
+
+void FleetHolder::LoadTable(const std::string& aTable,
+                            std::function<void(const std::vector<platform::Row>&)> aOnRows)
 {
   m_context.m_store.Read(
-    { kHeadTable, m_claim.m_pool, "" },
+    { aTable, m_claim.m_pool, "" },
     "",
     kReadTimeout,
-    [this, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aHead) {
+    [this, aTable, aOnRows, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
       if (alive.expired()) {
         return;
       }
-      if (!aHead) {
-        m_retry = m_context.m_timers.After(kReadRetry, [this] { LoadWaves(); });
+      if (!aPage) {
+        m_retries[aTable] = m_context.m_timers.After(
+          kReadRetry, [this, aTable, aOnRows] { LoadTable(aTable, aOnRows); });
         return;
       }
-      m_journal.SetHead(aHead.value().m_rows);
-      m_context.m_store.Read(
-        { kWaveTable, m_claim.m_pool, "" },
-        "",
-        kReadTimeout,
-        [this, alive](Result<platform::RowPage> aPage) {
-          if (alive.expired()) {
-            return;
-          }
-          if (!aPage) {
-            m_retry = m_context.m_timers.After(kReadRetry, [this] { LoadWaves(); });
-            return;
-          }
-          for (const platform::Row& row : aPage.value().m_rows) {
-            const json begun = json::parse(row.m_value, nullptr, false);
-            if (begun.is_array()) {
-              m_storedWaves[std::strtoull(row.m_at.m_key.c_str(), nullptr, 10)] =
-                begun.get<std::set<std::string>>();
-            }
-          }
-          m_isLoaded = true;
-          for (const job::WaveRequest& wave : m_earlyWaves) {
-            AddWave(wave);
-          }
-          m_earlyWaves.clear();
-        });
+      aOnRows(aPage.value().m_rows);
+      if (--m_tablesLeft == 0) {
+        FinishLoading();
+      }
     });
 }
 
+void FleetHolder::FinishLoading()
+{
+  m_isLoaded = true;
+  for (const job::WaveRequest& wave : m_earlyWaves) {
+    AddWave(wave);
+  }
+  m_earlyWaves.clear();
+}
+
 void FleetHolder::AddWave(const job::WaveRequest& aRequest)
 {
   if (!m_isLoaded) {
@@ -212,10 +239,17 @@
 {
   // An order must be answered or given up before another holder can begin.
   const Millis timeout = std::min(kCallTimeout, m_context.m_lease.Left());
-  if (timeout < kShortestOrder || LeaseClockNow() < m_mayOrderAt ||
-      !m_ordering.insert(aOrder.m_machine).second) {
+  const TimePoint now = LeaseClockNow();
+  if (!m_isLoaded || timeout < kShortestOrder || m_announced.IsHeldBack(aOrder.m_machine, now) ||
+      m_ordering.contains(aOrder.m_machine)) {
+    return;
+  }
+  if (!m_announced.IsAnnounced(aOrder.m_machine)) {
+    Announce(aOrder);
     return;
   }
+  m_ordering.insert(aOrder.m_machine);
+  m_announced.OnOrder(aOrder.m_machine, now);
   Log(LogCategory::Fleet,
       LogLevel::Info,
       "machine-order",
@@ -241,9 +275,41 @@
   }
 }
 
+void FleetHolder::Announce(const job::MachineOrder& aOrder)
+{
+  if (!m_announcing.insert(aOrder.m_machine).second) {
+    return;
+  }
+  const std::set<std::string> machines = m_announced.Announce(aOrder.m_machine, LeaseClockNow());
+  m_journal.Put(
+    kAnnouncedTable,
+    kSingleKey,
+    json(machines).dump(),
+    [this, aOrder, machines, alive = std::weak_ptr<int>(m_alive)](JournalOutcome aOutcome) {
+      if (alive.expired() || aOutcome != JournalOutcome::Saved) {
+        return;
+      }
+      m_announcing.erase(aOrder.m_machine);
+      m_announced.OnSaved(machines);
+      // What the pool's owner said before the write may not hold any more.
+      SyncOrCarryOut(aOrder.m_from);
+    });
+}
+
+void FleetHolder::SyncOrCarryOut(const std::string& aPool)
+{
+  const job::PoolSpec* spare = m_context.m_deployment.SparePool();
+  if (!spare || spare->m_name != aPool) {
+    Sync(aPool);
+  } else if (!m_isDraining) {
+    CarryOut(m_planner.Plan(m_context.m_deployment, m_context.m_shards, LeaseClockNow()), aPool);
+  }
+}
+
 void FleetHolder::OnOrder(const job::MachineOrder& aOrder, platform::MachineOrderVerdict aVerdict)
 {
   m_ordering.erase(aOrder.m_machine);
+  m_announced.OnOrder(aOrder.m_machine, LeaseClockNow());
   if (aVerdict != platform::MachineOrderVerdict::Done) {
     Log(LogCategory::Fleet,
         LogLevel::Warning,
--- a/src/node/FleetHolder.h
+++ b/src/node/FleetHolder.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "mustardtray/job/AnnouncedOrders.h"
 #include "mustardtray/job/FleetPlanner.h"
 #include "mustardtray/job/Ownership.h"
 #include "node/NodeContext.h"
@@ -37,13 +38,20 @@
   void Drain(std::function<void()> aDone);
 
 private:
-  void LoadWaves();
+  /// Reads what earlier holders stored; no order is given before.
+  void Load();
+  void LoadTable(const std::string& aTable,
+                 std::function<void(const std::vector<platform::Row>&)> aOnRows);
+  void FinishLoading();
   void ListMachines();
   void Tick();
   /// Tells the pool's owner what is cordoned, and orders what its answer allows.
   void Sync(const std::string& aPool);
   void CarryOut(const job::FleetPlan& aPlan, const std::string& aPool);
   void Order(const job::MachineOrder& aOrder);
+  /// Has the store know of the machine; then its order is tried again.
+  void Announce(const job::MachineOrder& aOrder);
+  void SyncOrCarryOut(const std::string& aPool);
   void OnOrder(const job::MachineOrder& aOrder, platform::MachineOrderVerdict aVerdict);
   void WriteStatus(std::uint64_t aWave, bool aIsCompleted);
 
@@ -59,13 +67,15 @@
   std::set<std::string> m_syncing;
   std::set<std::string> m_ordering;
   std::set<std::uint64_t> m_writingStatus;
-  TimePoint m_mayOrderAt{};
+  job::AnnouncedOrders m_announced;
+  std::set<std::string> m_announcing;
+  std::size_t m_tablesLeft = 0;
   bool m_isLoaded = false;
   bool m_isDraining = false;
   bool m_isListing = false;
   TimerHandle m_tick;
   TimerHandle m_listTimer;
-  TimerHandle m_retry;
+  std::map<std::string, TimerHandle> m_retries; ///< Of reads, by table.
   TimerHandle m_drainPoll;
 };
 
