Job: a new life of a machine ends the wait for its former minion

Cause: a new owner leaves the units of inherited jobs alone until every minion that an earlier owner may have used has answered, or 4.4 s have passed.

Change: a used minion is stored with its machine and start; when another minion registers for the machine with a later start, the former one runs nothing any more.

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -37,6 +37,14 @@
   std::string Rack() const { return m_labels.empty() ? std::string{} : m_labels.back(); }
 };
 
+/// Which minion is the present life of a machine. A later life began later by the machine's clock.
+struct MachineLife
+{
+  std::string m_machine;
+  std::string m_minion;
+  std::int64_t m_bornMs = 0;
+};
+
 /// An order to begin one run of a work unit.
 struct StartOrder
 {
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -83,6 +83,8 @@
 
   void UpdateMinion(const MinionEntry& aEntry, TimePoint aNow);
   void RemoveMinion(const std::string& aId, TimePoint aNow);
+  /// A machine has a new life: a minion that was an earlier one runs nothing any more.
+  void OnMachineLife(const MachineLife& aLife, TimePoint aNow);
   /// Another owner may have ordered work there: inherited work waits until it answered or its
   /// longest lease has run out.
   void ExpectMinion(const std::string& aId, TimePoint aLeaseEnd);
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -56,6 +56,22 @@
   }
 }
 
+void PoolScheduler::OnMachineLife(const MachineLife& aLife, TimePoint aNow)
+{
+  for (auto& [id, minion] : m_minions) {
+    const MinionEntry& entry = minion.m_entry;
+    const bool isOver = id != aLife.m_minion && entry.m_machine == aLife.m_machine &&
+                        !entry.m_machine.empty() && entry.m_bornMs != 0 &&
+                        entry.m_bornMs < aLife.m_bornMs;
+    if (isOver) {
+      DropAllRuns(minion, aNow);
+      m_unheard.erase(id);
+      minion.m_isListed = false;
+      minion.m_leaseEnd = {};
+    }
+  }
+}
+
 void PoolScheduler::ExpectMinion(const std::string& aId, TimePoint aLeaseEnd)
 {
   m_unheard[aId] = aLeaseEnd;
--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -4,9 +4,21 @@
 
 namespace mustardtray::node {
 
-MinionDirectory::MinionDirectory(const NodeContext& aContext, LocalOwner aLocalOwner)
+namespace {
+
+job::MachineLife LifeOf(const job::MinionEntry& aEntry)
+{
+  return { aEntry.m_machine, aEntry.m_id, aEntry.m_bornMs };
+}
+
+} // namespace
+
+MinionDirectory::MinionDirectory(const NodeContext& aContext,
+                                 LocalOwner aLocalOwner,
+                                 LifeCallback aOnLife)
   : m_context(aContext)
   , m_localOwner(std::move(aLocalOwner))
+  , m_onLife(std::move(aOnLife))
 {
 }
 
@@ -38,10 +50,14 @@
 void MinionDirectory::Add(const job::MinionEntry& aEntry)
 {
   const auto known = m_minions.find(aEntry.m_id);
+  const bool isNewLife = known == m_minions.end() || known->second.m_bornMs != aEntry.m_bornMs;
   if (known != m_minions.end() && known->second.m_pool != aEntry.m_pool) {
     Forget(aEntry.m_id);
   }
   m_minions[aEntry.m_id] = aEntry;
+  if (isNewLife) {
+    m_onLife(LifeOf(aEntry));
+  }
   if (PoolOwner* owner = m_localOwner(ShardOf(aEntry))) {
     owner->OnMinionEntry(aEntry);
   }
@@ -62,6 +78,7 @@
 void MinionDirectory::OfferTo(PoolOwner& aOwner) const
 {
   for (const auto& [id, entry] : m_minions) {
+    aOwner.OnMachineLife(LifeOf(entry));
     if (ShardOf(entry) == aOwner.Pool()) {
       aOwner.OnMinionEntry(entry);
     }
--- a/src/node/MinionDirectory.h
+++ b/src/node/MinionDirectory.h
@@ -2,6 +2,7 @@
 
 /// The registered minions, handed to the owners on this node whose shards they belong to.
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,7 +15,9 @@
 class MinionDirectory
 {
 public:
-  MinionDirectory(const NodeContext& aContext, LocalOwner aLocalOwner);
+  using LifeCallback = std::function<void(const job::MachineLife&)>;
+  /// aOnLife: a minion that was not known, or that has started anew, is registered.
+  MinionDirectory(const NodeContext& aContext, LocalOwner aLocalOwner, LifeCallback aOnLife);
 
   /// Rows of the minions' table. aIsComplete: all that there are; else changes.
   void OnRows(const std::vector<platform::Row>& aRows, bool aIsComplete);
@@ -30,6 +33,7 @@
 
   const NodeContext& m_context;
   LocalOwner m_localOwner;
+  LifeCallback m_onLife;
   std::map<std::string, job::MinionEntry> m_minions;
 };
 
--- a/src/node/MinionTalk.cpp
+++ b/src/node/MinionTalk.cpp
@@ -2,6 +2,7 @@
 
 #include "mustardtray/process/Log.h"
 #include "node/PoolOwner.h"
+#include "node/UsedMinion.h"
 
 namespace mustardtray::node {
 
@@ -177,7 +178,7 @@
     // The progress that these ends made is in the journal ahead of this row.
     m_owner.m_journal.Put(kUsedMinionTable,
                           m_minion,
-                          found->second.m_entry.m_address,
+                          EncodeUsedMinion(found->second.m_entry),
                           [this, seen, born = m_knownBorn, alive = std::weak_ptr<int>(m_alive)](
                             JournalOutcome aOutcome) {
                             if (!alive.expired() && aOutcome == JournalOutcome::Saved &&
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -62,7 +62,14 @@
                  {},
                  {},
                  {} }
-    , m_minions(m_context, [this](const std::string& aPool) { return FindOwner(aPool); })
+    , m_minions(
+        m_context,
+        [this](const std::string& aPool) { return FindOwner(aPool); },
+        [this](const job::MachineLife& aLife) {
+          for (const auto& [pool, owner] : m_owners) {
+            owner->OnMachineLife(aLife);
+          }
+        })
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
   {
   }
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -1,6 +1,7 @@
 #include "node/PoolOwner.h"
 
 #include "mustardtray/process/Log.h"
+#include "node/UsedMinion.h"
 
 namespace mustardtray::node {
 
@@ -253,7 +254,7 @@
   }
   m_journal.Put(kUsedMinionTable,
                 aId,
-                minion.m_entry.m_address,
+                EncodeUsedMinion(minion.m_entry),
                 [this, aId, alive = std::weak_ptr<int>(m_alive)](JournalOutcome aOutcome) {
                   if (alive.expired() || aOutcome != JournalOutcome::Saved) {
                     return;
@@ -266,6 +267,15 @@
                 });
 }
 
+void PoolOwner::OnMachineLife(const job::MachineLife& aLife)
+{
+  if (!m_isLoaded) {
+    m_earlyLives.push_back(aLife);
+    return;
+  }
+  m_scheduler.OnMachineLife(aLife, LeaseClockNow());
+}
+
 void PoolOwner::OnMinionGone(const std::string& aId)
 {
   if (!m_isLoaded) {
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -63,6 +63,8 @@
 
   void OnMinionEntry(const job::MinionEntry& aEntry);
   void OnMinionGone(const std::string& aId);
+  /// A minion of any pool has registered.
+  void OnMachineLife(const job::MachineLife& aLife);
   void OnInboxRow(const platform::Row& aRow);
   FleetReport SyncFleet(const std::set<std::string>& aCordons);
   /// Stops acting; the callback comes when nothing is pending in the store any more.
@@ -108,6 +110,7 @@
   std::set<std::string> m_earlyCancels;              ///< Of jobs that are not in the scheduler yet.
   std::vector<platform::Row> m_earlyInbox;           ///< That came before the rows were read.
   std::vector<job::MinionEntry> m_earlyEntries;
+  std::vector<job::MachineLife> m_earlyLives;
   TimerHandle m_tick;
   TimerHandle m_soon;
   TimerHandle m_retry;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -1,6 +1,7 @@
 #include "node/PoolOwner.h"
 
 #include "mustardtray/process/Log.h"
+#include "node/UsedMinion.h"
 
 /// What an owner reads from the store before it decides anything.
 
@@ -79,8 +80,7 @@
       const std::string& id = row.m_at.m_key;
       m_scheduler.ExpectMinion(id, leaseEnd);
       job::MinionState& minion = m_scheduler.Minions()[id];
-      minion.m_entry.m_id = id;
-      minion.m_entry.m_address = row.m_value;
+      minion.m_entry = DecodeUsedMinion(id, row.m_value);
       minion.m_isListed = false;
       minion.m_isRecorded = true;
       minion.m_leaseEnd = leaseEnd;
@@ -144,6 +144,10 @@
     OnMinionEntry(entry);
   }
   m_earlyEntries.clear();
+  for (const job::MachineLife& life : m_earlyLives) {
+    OnMachineLife(life);
+  }
+  m_earlyLives.clear();
   for (auto& [id, minion] : m_scheduler.Minions()) {
     BeginTalk(id);
   }
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -277,3 +277,29 @@
   fixture.Decide();
   CHECK(fixture.m_pool.Load(fixture.m_now).m_backlogCores == doctest::Approx(4));
 }
+
+TEST_CASE("a new life of a machine ends the wait for its former minion")
+{
+  PoolFixture fixture;
+  MinionEntry former = MakeMinion("former");
+  former.m_machine = "machine";
+  former.m_bornMs = 100;
+  fixture.m_pool.Minions()["former"].m_entry = former;
+  fixture.m_pool.ExpectMinion("former", fixture.m_now + Millis(4'400));
+  fixture.AddMinion("other");
+  REQUIRE(
+    fixture.m_pool.LoadJob(MakeJob("0123456789abcdef", 1), "", fixture.m_now, fixture.m_wallNow));
+  CHECK(fixture.Decide().m_starts.empty());
+  SUBCASE("a later one, under whatever id")
+  {
+    fixture.m_pool.OnMachineLife({ "machine", "later", 200 }, fixture.m_now);
+    CHECK(fixture.Decide().m_starts.size() == 1);
+  }
+  SUBCASE("not an earlier one, nor another machine's, nor its own")
+  {
+    fixture.m_pool.OnMachineLife({ "machine", "earlier", 50 }, fixture.m_now);
+    fixture.m_pool.OnMachineLife({ "elsewhere", "later", 200 }, fixture.m_now);
+    fixture.m_pool.OnMachineLife({ "machine", "former", 200 }, fixture.m_now);
+    CHECK(fixture.Decide().m_starts.empty());
+  }
+}
