Admission: lateness by the chain that is left

Cause: the order of waiting puts a job behind the others once its latest start has passed, but admission counted it as work ahead of new jobs until its whole objective had passed. New jobs were classed as late, or refused, for work that comes behind them, most of all after a fault.

Change: both use the latest start of the longest chain that is left. Test with overdue jobs in a queue.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -46,6 +46,10 @@
   std::size_t m_spreadMinions = 0; ///< Minions that the widest lasting step has to be spread over.
 };
 
+/// A job whose latest start has passed by more than this counts as late: starts and ends are seen
+/// some time after they happen.
+inline constexpr Millis kLateTolerance{ 300 };
+
 class PoolScheduler
 {
 public:
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -54,8 +54,7 @@
   std::uint32_t m_nextOccurrence = 0;
   std::map<std::uint32_t, Occurrence> m_occurrences; ///< Due and not done yet.
   TimePoint m_arrivedAt{};
-  Millis m_chain{ 0 };       ///< Longest chain of estimated work.
-  TimePoint m_objectiveAt{}; ///< Latest completion that earns the full benefit.
+  Millis m_chain{ 0 }; ///< Longest chain of estimated work.
   TimePoint m_endedAt{};
   std::vector<Millis> m_chainFrom;   ///< For each step: longest chain that begins with it.
   std::uint64_t m_revision = 0;      ///< Rises with each change of what has to be stored.
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -14,8 +14,6 @@
 constexpr Millis kFreshReport{ 1'600 };
 /// How long planned work waits for units that end by themselves; then they are stopped.
 constexpr Millis kCordonPatience{ 2'500 };
-/// A job whose latest start has passed by more than this counts as late.
-constexpr Millis kLateTolerance{ 300 };
 constexpr double kLastingRank = -1e15;
 constexpr double kPriorityRank = 1e9; ///< Milliseconds: more than any job lasts.
 constexpr double kLateRank = 1e13;
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -1,6 +1,7 @@
 #include "mustardtray/job/PoolScheduler.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <boost/outcome/success_failure.hpp>
 
@@ -31,11 +32,9 @@
 
 void PoolScheduler::Setup(Job& aJob, TimePoint aNow)
 {
-  const QueueTerms& terms = aJob.m_record.m_terms;
   aJob.m_chainFrom = ChainsFrom(aJob.m_record.m_spec);
   aJob.m_chain = LongestChain(aJob.m_chainFrom);
   aJob.m_arrivedAt = aNow;
-  aJob.m_objectiveAt = aNow + Scaled(aJob.m_chain, terms.m_stretch) + terms.m_extraTime;
 }
 
 Result<void> PoolScheduler::LoadJob(JobRecord aRecord,
@@ -75,12 +74,16 @@
 PoolScheduler::Backlog PoolScheduler::MeasureBacklog(TimePoint aNow) const
 {
   Backlog backlog;
+  std::unordered_set<const Job*> late;
   const auto add = [&](const Job& aJob, double aWork) {
     backlog.m_all += aWork;
     // A late job comes after every job that can still be in time.
-    backlog.m_inTime += IsLate(aJob, aNow) ? 0.0 : aWork;
+    backlog.m_inTime += late.contains(&aJob) ? 0.0 : aWork;
   };
   for (const Job* job : m_active) {
+    if (IsLate(*job, aNow)) {
+      late.insert(job);
+    }
     const double factor = m_runTimes.Factor(job->m_record.m_terms.m_queue);
     for (const auto& [number, occurrence] : job->m_occurrences) {
       for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
@@ -131,7 +134,21 @@
 
 bool PoolScheduler::IsLate(const Job& aJob, TimePoint aNow) const
 {
-  return aJob.m_isLate || (aJob.m_record.m_spec.m_repeatCount == 0 && aNow > aJob.m_objectiveAt);
+  if (aJob.m_isLate || aJob.m_record.m_spec.m_repeatCount > 0) {
+    return aJob.m_isLate;
+  }
+  // The same measure as in Rank(), for the longest chain that is left.
+  Millis chain{ 0 };
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      chain = occurrence.m_steps[s].IsDone() ? chain : std::max(chain, aJob.m_chainFrom[s]);
+    }
+  }
+  const QueueTerms& terms = aJob.m_record.m_terms;
+  const double factor = m_runTimes.Factor(terms.m_queue);
+  const TimePoint latestStart = aJob.m_arrivedAt + Scaled(aJob.m_chain, terms.m_stretch * factor) +
+                                terms.m_extraTime - Scaled(chain, factor);
+  return aNow > latestStart + kLateTolerance;
 }
 
 AdmissionVerdict PoolScheduler::Judge(const JobRecord& aRecord,
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -303,3 +303,20 @@
     CHECK(fixture.Decide().m_starts.empty());
   }
 }
+
+TEST_CASE("a job whose latest start has passed does not take the place of one that can be in time")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a", 4'000);
+  // A second of work with an objective of 2.2 s: the latest start is after 1.2 s.
+  for (int i = 0; i < 4; ++i) {
+    fixture.m_pool.AddJob(MakeJob("0123456789abcde" + std::to_string(i), 4, 4'000),
+                          fixture.m_now - Millis(1'800),
+                          false);
+  }
+  fixture.Decide();
+  const AdmissionVerdict verdict =
+    fixture.m_pool.Judge(MakeJob("fedcba9876543210", 1, 4'000), Millis(0), fixture.m_now);
+  CHECK(verdict.m_isAccepted);
+  CHECK_FALSE(verdict.m_isLate);
+}
