Job: queues with a placement advisor

Cause: starts on a queue with advice need a ticket, and none was asked, so such a queue's jobs never ran: in an installation that has one, each such job counts as lost.

Change: AdviceBook keeps tickets a step and minion, asks about at most 30 likely minions, three questions a pool at a time, again when a ticket lapses or the minion starts anew; a refusal by the advisor stands. A refused ticket is no longer counted against the minion. One line in the log for each answer.

Measured: unit tests of the book and of a pool with two minions.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "mustardtray/job/Admission.h"
+#include "mustardtray/job/AdviceBook.h"
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PoolState.h"
@@ -31,6 +32,7 @@
   std::vector<StartOrder> m_starts;
   std::vector<StopOrder> m_stops;
   std::vector<PaceOrder> m_paces;
+  std::vector<AdviceQuestion> m_questions;
   std::vector<std::string> m_unsavedJobs; ///< Progress to write to the store.
 };
 
@@ -93,6 +95,9 @@
   /// longest lease has run out.
   void ExpectMinion(const std::string& aId, TimePoint aLeaseEnd);
   void SetCordons(const std::set<std::string>& aMachines, TimePoint aNow);
+  /// aAskedAt: when the question was sent.
+  void OnAdvice(const AdviceQuestion& aQuestion, const Advice& aAdvice, TimePoint aAskedAt);
+  void OnAdviceFailed(const AdviceQuestion& aQuestion, TimePoint aNow);
   /// Whether planned work may take the machine now. False while work that should not be lost is on
   /// it.
   bool IsClear(const std::string& aMachine, TimePoint aNow) const;
@@ -169,6 +174,10 @@
   void PlaceQueued(TimePoint aNow);
   bool PlaceUnits(QueuedStep& aQueued, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
+  /// Where the units of a step may be placed.
+  PlacementRequest RequestFor(const QueuedStep& aQueued) const;
+  /// Asks the advisor about the minions that the step would be placed on next.
+  void AskAdvice(const QueuedStep& aQueued, TimePoint aNow);
   /// Whether a unit of the step waits for the store.
   bool HasUnsavedFailure(const QueuedStep& aQueued) const;
   void StartUnit(QueuedStep& aQueued,
@@ -212,6 +221,7 @@
   std::map<std::string, std::size_t> m_waitingByQueue;
   RunTimes m_runTimes;
   ArrivalRate m_arrivals;
+  AdviceBook m_advice;
   std::deque<std::pair<TimePoint, double>> m_refused; ///< Cores that jobs refused lately could use.
   PoolOrders m_orders;
 };
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -59,6 +59,7 @@
 {
   const StepSpec& step = *aRequest.m_step;
   const Resources need = step.Reserved();
+  const std::string stepName = aRequest.m_advice ? StepName(aRequest.m_unitPrefix) : std::string{};
   MinionState* best = nullptr;
   double bestScore = 0;
   for (auto& [id, minion] : aMinions) {
@@ -68,6 +69,9 @@
     if (!step.m_requiredLabel.empty() && !minion.m_entry.HasLabel(step.m_requiredLabel)) {
       continue;
     }
+    if (aRequest.m_advice && !aRequest.m_advice->Ticket(stepName, id, aNow)) {
+      continue;
+    }
     double score = FreeShareAfter(minion, need);
     if (step.m_maxPerMinion > 0 || step.m_isLasting) {
       const int present = UnitsOfStep(minion, aRequest.m_unitPrefix);
@@ -90,4 +94,27 @@
   return best;
 }
 
+std::string StepName(const std::string& aUnitPrefix)
+{
+  return aUnitPrefix.substr(0, aUnitPrefix.rfind('.'));
+}
+
+std::vector<std::string> AdviceCandidates(const MinionTable& aMinions,
+                                          const StepSpec& aStep,
+                                          TimePoint aNow)
+{
+  const Resources need = aStep.Reserved();
+  std::vector<std::string> candidates;
+  std::vector<std::string> full;
+  for (const auto& [id, minion] : aMinions) {
+    const bool isAllowed =
+      aStep.m_requiredLabel.empty() || minion.m_entry.HasLabel(aStep.m_requiredLabel);
+    if (isAllowed && TakesWork(minion, aNow) && minion.m_entry.m_capacity.Fits(need)) {
+      (minion.Free().Fits(need) ? candidates : full).push_back(id);
+    }
+  }
+  candidates.insert(candidates.end(), full.begin(), full.end());
+  return candidates;
+}
+
 } // namespace mustardtray::job
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kFreshReport{ 1'600 };
 /// How long planned work waits for units that end by themselves; then they are stopped.
 constexpr Millis kCordonPatience{ 2'500 };
+/// Minions in one question: the advisor takes time for each.
+constexpr std::size_t kMostAdvised = 30;
 constexpr double kLastingRank = -1e15;
 constexpr double kPriorityRank = 1e9; ///< Milliseconds: more than any job lasts.
 constexpr double kLateRank = 1e13;
@@ -109,8 +111,13 @@
       queued.State().m_isQueued = false;
     } else {
       left.push_back(queued);
-      const bool isPlain = !isBlocked && !spec.m_isGang && spec.m_requiredLabel.empty() &&
-                           spec.m_maxPerMinion == 0 && !HasUnsavedFailure(queued);
+      const bool needsAdvice = queued.m_job->m_record.m_terms.m_needsAdvice;
+      if (needsAdvice && !isBlocked) {
+        AskAdvice(queued, aNow);
+      }
+      const bool isPlain = !isBlocked && !needsAdvice && !spec.m_isGang &&
+                           spec.m_requiredLabel.empty() && spec.m_maxPerMinion == 0 &&
+                           !HasUnsavedFailure(queued);
       if (isPlain) {
         unplaceable.push_back(need);
       }
@@ -119,6 +126,41 @@
   m_queued = std::move(left);
 }
 
+PlacementRequest PoolScheduler::RequestFor(const QueuedStep& aQueued) const
+{
+  const JobRecord& record = aQueued.m_job->m_record;
+  PlacementRequest request;
+  request.m_step = &aQueued.Spec();
+  request.m_unitPrefix = StepPrefix(record.m_id, aQueued.m_occurrence, aQueued.m_step);
+  request.m_advice = record.m_terms.m_needsAdvice ? &m_advice : nullptr;
+  return request;
+}
+
+void PoolScheduler::AskAdvice(const QueuedStep& aQueued, TimePoint aNow)
+{
+  const StepSpec& spec = aQueued.Spec();
+  // Twice the minions that hold the step's units if each takes one, in case some may not run it.
+  const std::size_t most = std::min<std::size_t>(kMostAdvised, 2 * std::size_t{ spec.m_count });
+  const std::string step =
+    StepName(StepPrefix(aQueued.m_job->m_record.m_id, aQueued.m_occurrence, aQueued.m_step));
+  AdviceQuestion question = m_advice.Ask(step, AdviceCandidates(m_minions, spec, aNow), most, aNow);
+  if (!question.m_minions.empty()) {
+    m_orders.m_questions.push_back(std::move(question));
+  }
+}
+
+void PoolScheduler::OnAdvice(const AdviceQuestion& aQuestion,
+                             const Advice& aAdvice,
+                             TimePoint aAskedAt)
+{
+  m_advice.OnAnswer(aQuestion, aAdvice, aAskedAt);
+}
+
+void PoolScheduler::OnAdviceFailed(const AdviceQuestion& aQuestion, TimePoint aNow)
+{
+  m_advice.OnFailed(aQuestion, aNow);
+}
+
 bool PoolScheduler::HasUnsavedFailure(const QueuedStep& aQueued) const
 {
   const std::vector<Unit>& units = aQueued.State().m_units;
@@ -132,7 +174,7 @@
   Job& job = *aQueued.m_job;
   const StepSpec& spec = aQueued.Spec();
   StepState& step = aQueued.State();
-  const std::string prefix = StepPrefix(job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step);
+  PlacementRequest request = RequestFor(aQueued);
   bool isComplete = true;
   for (std::uint32_t i = 0; i < step.m_units.size(); ++i) {
     Unit& unit = step.m_units[i];
@@ -144,8 +186,8 @@
       isComplete = false;
       continue;
     }
-    const std::string* avoid = unit.m_lastFailedOn.empty() ? nullptr : &unit.m_lastFailedOn;
-    MinionState* minion = ChooseMinion(m_minions, { &spec, prefix, avoid }, aNow);
+    request.m_avoid = unit.m_lastFailedOn.empty() ? nullptr : &unit.m_lastFailedOn;
+    MinionState* minion = ChooseMinion(m_minions, request, aNow);
     if (!minion) {
       return false;
     }
@@ -162,7 +204,7 @@
   if (step.IsDone()) {
     return true;
   }
-  const std::string prefix = StepPrefix(job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step);
+  const PlacementRequest request = RequestFor(aQueued);
   std::uint32_t run = 0;
   std::string checkpoint;
   for (Unit& unit : step.m_units) {
@@ -175,7 +217,7 @@
   // All rooms are reserved before the first order, so that no member waits for another.
   std::vector<MinionState*> rooms;
   for (std::size_t i = 0; i < step.m_units.size(); ++i) {
-    MinionState* minion = ChooseMinion(m_minions, { &spec, prefix, nullptr }, aNow);
+    MinionState* minion = ChooseMinion(m_minions, request, aNow);
     if (!minion) {
       break;
     }
@@ -208,8 +250,17 @@
   const std::string name = id.Text();
   Run& run = AddRun(aMinion, &unit, name, MakeRun(id, aRun, &spec, aNow));
   run.m_expected = Scaled(spec.m_estimate, m_runTimes.Factor(job.m_record.m_terms.m_queue));
-  m_orders.m_starts.push_back(
-    { aMinion.m_entry.m_id, name, aRun, job.m_record.m_spec.m_payload, unit.m_checkpoint, {} });
+  std::string ticket;
+  if (job.m_record.m_terms.m_needsAdvice) {
+    const std::string* known = m_advice.Ticket(StepName(name), aMinion.m_entry.m_id, aNow);
+    ticket = known ? *known : std::string{};
+  }
+  m_orders.m_starts.push_back({ aMinion.m_entry.m_id,
+                                name,
+                                aRun,
+                                job.m_record.m_spec.m_payload,
+                                unit.m_checkpoint,
+                                std::move(ticket) });
   OnFirstStart(job);
 }
 
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -270,6 +270,11 @@
   m_timedJobs.erase(&aJob);
   std::erase_if(m_queued, [&](const QueuedStep& aQueued) { return aQueued.m_job == &aJob; });
   StopRunsOf(aJob, aNow);
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      m_advice.ForgetStep(StepName(UnitId{ aJob.m_record.m_id, number, s, 0 }.Text()));
+    }
+  }
   aJob.m_record.m_spec.m_payload.clear();
   aJob.m_occurrences.clear();
 }
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -38,6 +38,7 @@
 void PoolScheduler::BeginNewLife(MinionState& aMinion, TimePoint aNow)
 {
   DropAllRuns(aMinion, aNow);
+  m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_seenEnd = 0;
   aMinion.m_ackedEnd = 0;
   aMinion.m_failStreak = 0;
@@ -154,9 +155,11 @@
     case StartVerdict::Late:
       minion.m_restUntil = aNow + kRefusalRest;
       break;
+    case StartVerdict::NoTicket:
+      m_advice.Drop(StepName(aOrder.m_unit), aOrder.m_minion);
+      break;
     case StartVerdict::Unhealthy:
     case StartVerdict::Rejected:
-    case StartVerdict::NoTicket:
       ++minion.m_failStreak;
       minion.m_probeAt = aNow + kProbePause;
       minion.m_restUntil = aNow + kRefusalRest;
@@ -304,6 +307,7 @@
   if (!step.IsDone()) {
     return;
   }
+  m_advice.ForgetStep(StepName(aId.Text()));
   const bool isDone = std::all_of(occurrence.m_steps.begin(),
                                   occurrence.m_steps.end(),
                                   [](const StepState& aStep) { return aStep.IsDone(); });
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -84,6 +84,7 @@
   void CarryOut(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
   void SendStop(const job::StopOrder& aOrder);
+  void AskAdvisor(const job::AdviceQuestion& aQuestion);
   void SaveJobs(const std::vector<std::string>& aJobs);
   void SaveProgress(const job::Job& aJob, PoolJournal::SavedCallback aSaved);
   void RemoveFromInbox(const std::string& aKey);
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis kOrderTimeout{ 500 };
+/// The advisor takes this node's questions in turn and needs time for each minion named.
+constexpr Millis kAdviceTimeout{ 2'500 };
 
 } // namespace
 
@@ -30,9 +32,45 @@
         [](platform::OrderAnswer) {});
     }
   }
+  for (const job::AdviceQuestion& question : aOrders.m_questions) {
+    AskAdvisor(question);
+  }
   SaveJobs(aOrders.m_unsavedJobs);
 }
 
+void PoolOwner::AskAdvisor(const job::AdviceQuestion& aQuestion)
+{
+  const TimePoint askedAt = LeaseClockNow();
+  m_context.m_minions.Advise(
+    aQuestion,
+    kAdviceTimeout,
+    [this, aQuestion, askedAt, alive = std::weak_ptr<int>(m_alive)](Result<job::Advice> aAdvice) {
+      if (alive.expired()) {
+        return;
+      }
+      const TimePoint now = LeaseClockNow();
+      if (aAdvice) {
+        m_scheduler.OnAdvice(aQuestion, aAdvice.value(), askedAt);
+      } else {
+        m_scheduler.OnAdviceFailed(aQuestion, now);
+      }
+      Log(LogCategory::Placement,
+          LogLevel::Info,
+          "step-advised",
+          "step",
+          aQuestion.m_step,
+          "asked",
+          aQuestion.m_minions.size(),
+          "good",
+          aAdvice ? aAdvice.value().m_good.size() : 0,
+          "after-ms",
+          std::chrono::duration_cast<Millis>(now - askedAt).count(),
+          "error",
+          aAdvice ? std::string("none") : aAdvice.error().Text());
+      RequestDecision();
+    });
+}
+
 void PoolOwner::SendStart(const job::StartOrder& aOrder)
 {
   const auto talk = m_talks.find(aOrder.m_minion);
--- /dev/null
+++ b/tests/job/AdviceBookTest.cpp
@@ -0,0 +1,59 @@
+#include "mustardtray/job/AdviceBook.h"
+
+#include <doctest/doctest.h>
+
+using namespace mustardtray;
+using namespace mustardtray::job;
+
+namespace {
+
+const TimePoint kStart{ Micros(100'000'000) };
+const Advice kOnlyA{ { { "a", "ticket-a" } }, Millis(3'000) };
+
+} // namespace
+
+TEST_CASE("a ticket serves its step on its minion for its time")
+{
+  AdviceBook book;
+  const AdviceQuestion question = book.Ask("step", { "a", "b" }, 30, kStart);
+  CHECK(question.m_minions == std::vector<std::string>{ "a", "b" });
+  book.OnAnswer(question, kOnlyA, kStart);
+  REQUIRE(book.Ticket("step", "a", kStart));
+  CHECK(*book.Ticket("step", "a", kStart) == "ticket-a");
+  CHECK_FALSE(book.Ticket("step", "b", kStart));
+  CHECK_FALSE(book.Ticket("other", "a", kStart));
+  CHECK_FALSE(book.Ticket("step", "a", kStart + Millis(3'000)));
+}
+
+TEST_CASE("what is known is not asked again: a refusal for good, a ticket until it lapses")
+{
+  AdviceBook book;
+  book.OnAnswer(book.Ask("step", { "a", "b" }, 30, kStart), kOnlyA, kStart);
+  CHECK(book.Ask("step", { "a", "b" }, 30, kStart).m_minions.empty());
+  const TimePoint later = kStart + Millis(3'500);
+  CHECK(book.Ask("step", { "a", "b" }, 30, later).m_minions == std::vector<std::string>{ "a" });
+}
+
+TEST_CASE("a minion that starts anew, or refuses its ticket, is asked about again")
+{
+  AdviceBook book;
+  book.OnAnswer(book.Ask("step", { "a", "b" }, 30, kStart), kOnlyA, kStart);
+  book.ForgetMinion("b");
+  book.Drop("step", "a");
+  CHECK(book.Ask("step", { "a", "b" }, 30, kStart).m_minions.size() == 2);
+}
+
+TEST_CASE("one question a step, a few a pool, and a pause after a failure")
+{
+  AdviceBook book;
+  const AdviceQuestion first = book.Ask("1", { "a" }, 30, kStart);
+  CHECK(book.Ask("1", { "a" }, 30, kStart).m_minions.empty());
+  int asked = 1;
+  for (int step = 2; step < 20; ++step) {
+    asked += book.Ask(std::to_string(step), { "a" }, 30, kStart).m_minions.empty() ? 0 : 1;
+  }
+  CHECK(asked == 3);
+  book.OnFailed(first, kStart);
+  CHECK(book.Ask("1", { "a" }, 30, kStart).m_minions.empty());
+  CHECK(book.Ask("1", { "a" }, 30, kStart + Millis(300)).m_minions.size() == 1);
+}
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -320,3 +320,33 @@
   CHECK(verdict.m_isAccepted);
   CHECK_FALSE(verdict.m_isLate);
 }
+
+TEST_CASE("a queue with a placement advisor starts units with tickets, on advised minions alone")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  fixture.AddMinion("b");
+  JobRecord record = MakeJob("0123456789abcdef", 2);
+  record.m_terms.m_needsAdvice = true;
+  fixture.m_pool.AddJob(record, fixture.m_now, false);
+  PoolOrders orders = fixture.Decide();
+  CHECK(orders.m_starts.empty());
+  REQUIRE(orders.m_questions.size() == 1);
+  CHECK(orders.m_questions[0].m_step == "0123456789abcdef.0.0");
+  CHECK(orders.m_questions[0].m_minions == std::vector<std::string>{ "a", "b" });
+  fixture.m_pool.OnAdvice(
+    orders.m_questions[0], { { { "b", "ticket" } }, Millis(3'000) }, fixture.m_now);
+  orders = fixture.Decide();
+  REQUIRE(orders.m_starts.size() == 2);
+  for (const StartOrder& order : orders.m_starts) {
+    CHECK(order.m_minion == "b");
+    CHECK(order.m_ticket == "ticket");
+  }
+  // A refused ticket is no fault of the minion's: it is asked about again.
+  for (const StartOrder& order : orders.m_starts) {
+    fixture.m_pool.OnStartAnswer(order, StartVerdict::NoTicket, fixture.m_now);
+  }
+  orders = fixture.Decide();
+  REQUIRE(orders.m_questions.size() == 1);
+  CHECK(orders.m_questions[0].m_minions == std::vector<std::string>{ "b" });
+}
