Tests: a fault soak of our own, nodes as processes with faults from outside

Nodes run as separate processes against stand-ins of the store, the minions and the machines' interface. A run kills, pauses and restarts nodes, cuts, delays, silences and resets their links to the store by loopback proxies, makes the store busy, silent, slow, losing answers and late, crashes and hangs minions (also reborn under their ids), compacts history, changes the configuration and asks for a wave, in series that overlap. It checks from what callers and back ends see: no two runs at once, no start after an acknowledged end, order of steps, attempts, no run of a refused job, states that are true, two holders of machine orders, machines in maintenance at once, processes that end by themselves, and that every accepted job ends after the faults.

--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -172,7 +172,6 @@
 bool PoolScheduler::PlaceUnits(QueuedStep& aQueued, TimePoint aNow)
 {
   Job& job = *aQueued.m_job;
-  const StepSpec& spec = aQueued.Spec();
   StepState& step = aQueued.State();
   PlacementRequest request = RequestFor(aQueued);
   bool isComplete = true;
--- a/standin/LocalFleet.cpp
+++ b/standin/LocalFleet.cpp
@@ -1,7 +1,6 @@
 #include "standin/LocalFleet.h"
 
 #include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -46,14 +45,6 @@
   return { ErrorKind::Internal, std::move(aStep), std::move(aPeer), std::move(aMessage) };
 }
 
-bool HasEnded(LocalProcess& aProcess)
-{
-  if (aProcess.m_pid != 0 && waitpid(aProcess.m_pid, nullptr, WNOHANG) == aProcess.m_pid) {
-    aProcess.m_pid = 0;
-  }
-  return aProcess.m_pid == 0;
-}
-
 void EndProcess(LocalProcess& aProcess)
 {
   if (HasEnded(aProcess)) {
@@ -62,9 +53,7 @@
   kill(aProcess.m_pid, SIGCONT);
   kill(aProcess.m_pid, SIGTERM);
   if (!WaitUntil(kStopTimeout, [&] { return HasEnded(aProcess); })) {
-    kill(aProcess.m_pid, SIGKILL);
-    waitpid(aProcess.m_pid, nullptr, 0);
-    aProcess.m_pid = 0;
+    KillProcess(aProcess);
   }
 }
 
@@ -264,28 +253,6 @@
 
 // --- Processes
 
-Result<void> LocalFleet::StartProcess(LocalProcess& aProcess)
-{
-  std::vector<char*> arguments;
-  for (std::string& argument : aProcess.m_command) {
-    arguments.push_back(argument.data());
-  }
-  arguments.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(
-    &actions, STDERR_FILENO, aProcess.m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
-  const int error =
-    posix_spawn(&aProcess.m_pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (error != 0) {
-    aProcess.m_pid = 0;
-    return Failure("start process", aProcess.m_name, std::strerror(error));
-  }
-  return boost::outcome_v2::success();
-}
-
 Result<void> LocalFleet::StartDaemons()
 {
   for (const VmListing& vm : m_vms) {
--- a/standin/LocalFleet.h
+++ b/standin/LocalFleet.h
@@ -20,6 +20,7 @@
 #include "mustardtray/process/Platform.h"
 #include "mustardtray/process/Time.h"
 #include "mustardtray/version/Configuration.h"
+#include "standin/LocalProcess.h"
 
 namespace mustardtray {
 
@@ -33,15 +34,6 @@
   Json m_extraSettings = Json::object(); ///< Merged into each daemon's settings.
 };
 
-/// One process of the fleet.
-struct LocalProcess
-{
-  std::string m_name;
-  std::vector<std::string> m_command;
-  std::string m_logFile;
-  int m_pid = 0; ///< 0 when it does not run.
-};
-
 /// Listeners of one entry VM.
 struct LocalEntryVm
 {
@@ -108,7 +100,6 @@
   Json EntrySettings(const VmListing& aVm) const;
   Json PlatformSettingsJson() const;
   Json MinionSettingsJson() const;
-  Result<void> StartProcess(LocalProcess& aProcess);
   Result<void> StartDaemons();
   bool WaitForUrl(const std::string& aUrl, Millis aTimeout) const;
   std::string WriteFile(const std::string& aName, const Json& aContent) const;
--- /dev/null
+++ b/tests/soak/Soak.cpp
@@ -0,0 +1,318 @@
+#include "tests/soak/Soak.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+#include "mustardtray/process/Log.h"
+
+namespace mustardtray::soak {
+
+namespace {
+
+constexpr std::uint16_t kCallerPort = 8624;
+constexpr std::uint16_t kReadyPort = 8622;
+constexpr std::uint16_t kPeerPort = 7060;
+constexpr Micros kStartTime{ 3'000'000 };
+constexpr Millis kWatchPeriod{ 100 };
+/// The nodes take over within seconds; this is several times as long.
+constexpr Millis kCalmTime{ 25'000 };
+/// Calm goes on for at least this long, so that late writes and orders come in.
+constexpr Millis kShortestCalm{ 4'000 };
+constexpr std::size_t kPools = 2;
+constexpr std::size_t kMachinesPerPool = 4;
+constexpr std::size_t kSpareMachines = 3;
+
+TimePoint Now()
+{
+  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+}
+
+std::string PoolName(std::size_t aNumber)
+{
+  return fmt::format("pool-{}", aNumber);
+}
+
+std::string QueuePrefix(std::size_t aNumber)
+{
+  return fmt::format("/queue-{}/", aNumber);
+}
+
+} // namespace
+
+Soak::Soak(SoakOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_random(m_options.m_seed)
+{
+  std::filesystem::create_directories(m_options.m_folder);
+  WriteConfiguration();
+  std::vector<std::string> queues;
+  for (std::size_t pool = 0; pool < kPools; ++pool) {
+    queues.push_back(QueuePrefix(pool));
+    for (std::size_t machine = 0; machine < kMachinesPerPool; ++machine) {
+      m_machines.Add(fmt::format("m-{}-{}", pool, machine), PoolName(pool), false);
+    }
+  }
+  for (std::size_t machine = 0; machine < kSpareMachines; ++machine) {
+    m_machines.Add(fmt::format("m-spare-{}", machine), "spare", true);
+  }
+  std::vector<std::string> addresses;
+  for (std::size_t number = 1; number <= m_options.m_nodes; ++number) {
+    AddNode(number);
+  }
+  for (const auto& [name, node] : m_nodes) {
+    addresses.push_back(node->m_callerAddress);
+  }
+  m_callers = std::make_unique<Callers>(
+    m_context, m_timers, m_promises, m_options.m_seed, addresses, std::move(queues));
+}
+
+Soak::~Soak()
+{
+  for (auto& [name, node] : m_nodes) {
+    KillProcess(node->m_process);
+  }
+}
+
+void Soak::AddNode(std::size_t aNumber)
+{
+  auto node = std::make_unique<Node>();
+  // Runs side by side differ in the second number.
+  const std::string ip =
+    fmt::format("127.{}.{}.{}", 64 + getpid() % 128, getpid() / 128 % 250, aNumber);
+  node->m_callerAddress = fmt::format("{}:{}", ip, kCallerPort);
+  node->m_storeLink = std::make_unique<FaultProxy>(m_context, m_timers, m_store.Port());
+  LocalProcess& process = node->m_process;
+  process.m_name = fmt::format("node-{}", aNumber);
+  process.m_logFile = fmt::format("{}/{}.log", m_options.m_folder, process.m_name);
+  const std::string settings = fmt::format("{}/{}.conf", m_options.m_folder, process.m_name);
+  process.m_command = { m_options.m_program, "node", "--settings", settings };
+  WriteSettings(*node, ip);
+  m_nodes.emplace(process.m_name, std::move(node));
+}
+
+void Soak::WriteSettings(const Node& aNode, const std::string& aIp)
+{
+  std::ofstream file(aNode.m_process.m_command.back());
+  file << "node_name=" << aNode.m_process.m_name << "\nip=" << aIp << "\nzone=z1\nzones.z1=r1\n"
+       << "listen.front=" << aNode.m_callerAddress << "\nlisten.ready=" << aIp << ":" << kReadyPort
+       << "\ninternal_ports=" << kPeerPort << "," << kPeerPort + 15
+       << "\nlimits.max_fds=1000\nheartbeat_ms=1000\nbounds.grace_s=3"
+       << "\nbounds.hold_max_ms=" << kMaxRunLease.count()
+       << "\nbounds.lease_ms=" << kMachineOrderLease.count()
+       << "\nbounds.move_s=" << static_cast<double>(kMoveTime.count()) / 1'000
+       << "\nbounds.maintenance_s=" << static_cast<double>(kMaintenanceTime.count()) / 1'000
+       << "\nplatform.address=127.0.0.1:" << aNode.m_storeLink->Port()
+       << "\ncloud_api.address=127.0.0.1:" << m_machines.ControlPort() << "\n";
+}
+
+void Soak::WriteConfiguration()
+{
+  Json routes = Json::array();
+  Json services = Json::array();
+  for (std::size_t pool = 0; pool < kPools; ++pool) {
+    routes.push_back({ { "name", fmt::format("queue-{}", pool) },
+                       { "host", "soak.example" },
+                       { "prefix", QueuePrefix(pool) },
+                       { "service", PoolName(pool) },
+                       { "max_attempts", kMaxAttempts },
+                       { "stretch", 2 },
+                       { "target_duration_ms", 3'000 } });
+    services.push_back({ { "name", PoolName(pool) }, { "rejects_overload", true } });
+  }
+  services.push_back({ { "name", "spare" }, { "spare", true }, { "rejects_overload", true } });
+  m_configVersion += 1 + m_random() % 3;
+  m_store.Put("op",
+              "config",
+              Json{ { "version", m_configVersion },
+                    { "routes", std::move(routes) },
+                    { "services", std::move(services) },
+                    { "limits", Json::object() } }
+                .dump());
+}
+
+std::vector<std::string> Soak::Run()
+{
+  for (auto& [name, node] : m_nodes) {
+    if (const auto started = StartProcess(node->m_process); !started) {
+      return { started.error().Text() };
+    }
+  }
+  m_watch = m_timers.Every(kWatchPeriod, 0, [this] { Watch(); });
+  m_calm = m_timers.After(kStartTime, [this] {
+    m_callers->Begin();
+    if (m_options.m_hasFaults) {
+      InjectFault();
+    }
+    m_calm = m_timers.After(m_options.m_faultTime, [this] { Heal(); });
+  });
+  m_context.run();
+  m_promises.CheckAtEnd();
+  return m_promises.Broken();
+}
+
+int Soak::Draw(int aLeast, int aMost)
+{
+  return std::uniform_int_distribution<int>(aLeast, aMost)(m_random);
+}
+
+Soak::Node& Soak::AnyNode()
+{
+  auto node = m_nodes.begin();
+  std::advance(node, Draw(0, static_cast<int>(m_nodes.size()) - 1));
+  return *node->second;
+}
+
+// Processes.
+
+void Soak::Watch()
+{
+  for (auto& [name, node] : m_nodes) {
+    if (!HasEnded(node->m_process) || node->m_restart.IsActive()) {
+      continue;
+    }
+    if (!node->m_isStopping) {
+      m_promises.Break("ended by itself: " + name);
+    }
+    node->m_isStopping = false;
+    node->m_restart = m_timers.After(DrawMillis(100, 1'500), [this, &node = *node] {
+      node.m_restart.Cancel();
+      static_cast<void>(StartProcess(node.m_process));
+    });
+  }
+}
+
+void Soak::FaultNode(Node& aNode)
+{
+  if (aNode.m_process.m_pid == 0 || aNode.m_isStopping) {
+    return;
+  }
+  switch (Draw(0, 2)) {
+    case 0:
+      aNode.m_isStopping = true;
+      kill(aNode.m_process.m_pid, SIGKILL);
+      break;
+    case 1:
+      aNode.m_isStopping = true;
+      kill(aNode.m_process.m_pid, SIGCONT);
+      kill(aNode.m_process.m_pid, SIGTERM);
+      break;
+    default:
+      kill(aNode.m_process.m_pid, SIGSTOP);
+      aNode.m_resume =
+        m_timers.After(DrawMillis(200, 5'000), [pid = aNode.m_process.m_pid, &aNode] {
+          if (aNode.m_process.m_pid == pid) {
+            kill(pid, SIGCONT);
+          }
+        });
+  }
+}
+
+// Faults.
+
+void Soak::InjectFault()
+{
+  switch (Draw(0, 6)) {
+    case 0:
+    case 1:
+      FaultNode(AnyNode());
+      break;
+    case 2:
+      FaultLink(AnyNode());
+      break;
+    case 3:
+      FaultStore();
+      break;
+    case 4:
+      FaultMachine();
+      break;
+    case 5:
+      WriteConfiguration();
+      m_store.Compact();
+      break;
+    default:
+      // All at once, now and then: only the store remembers.
+      for (auto& [name, node] : m_nodes) {
+        if (Draw(0, 2) == 0 && node->m_process.m_pid != 0) {
+          node->m_isStopping = true;
+          kill(node->m_process.m_pid, SIGKILL);
+        }
+      }
+      if (m_waves == 0) {
+        m_machines.BeginWave(++m_waves, 5, 2);
+      }
+  }
+  m_fault = m_timers.After(DrawMillis(100, 1'500), [this] { InjectFault(); });
+}
+
+void Soak::FaultLink(Node& aNode)
+{
+  switch (Draw(0, 3)) {
+    case 0:
+      aNode.m_storeLink->ResetAll();
+      return;
+    case 1:
+      aNode.m_storeLink->SetFault(LinkFault::Delayed);
+      break;
+    case 2:
+      aNode.m_storeLink->SetFault(LinkFault::Silent);
+      break;
+    default:
+      aNode.m_storeLink->SetFault(LinkFault::CutAnswers);
+  }
+  aNode.m_heal = m_timers.After(DrawMillis(300, 5'000),
+                                [&aNode] { aNode.m_storeLink->SetFault(LinkFault::None); });
+}
+
+void Soak::FaultStore()
+{
+  constexpr std::array kFaults{ StoreFault::Busy,
+                                StoreFault::Silent,
+                                StoreFault::Slow,
+                                StoreFault::LoseAnswers,
+                                StoreFault::LateWrites };
+  m_store.SetFault(kFaults[static_cast<std::size_t>(Draw(0, int(kFaults.size()) - 1))]);
+  m_healStore =
+    m_timers.After(DrawMillis(300, 4'000), [this] { m_store.SetFault(StoreFault::None); });
+}
+
+void Soak::FaultMachine()
+{
+  const std::vector<std::string> names = m_machines.Names();
+  const std::string& name = names[static_cast<std::size_t>(Draw(0, int(names.size()) - 1))];
+  if (Draw(0, 1) == 0) {
+    m_machines.Hang(name, DrawMillis(300, 5'000));
+  } else {
+    m_machines.Crash(name, DrawMillis(200, 4'000), Draw(0, 1) == 0);
+  }
+}
+
+void Soak::Heal()
+{
+  m_fault.Cancel();
+  m_healStore.Cancel();
+  m_store.SetFault(StoreFault::None);
+  for (auto& [name, node] : m_nodes) {
+    node->m_heal.Cancel();
+    node->m_storeLink->SetFault(LinkFault::None);
+    if (node->m_process.m_pid != 0) {
+      kill(node->m_process.m_pid, SIGCONT);
+    }
+  }
+  m_callers->StopSubmitting();
+  m_calmSince = Now();
+  m_check = m_timers.Every(Millis(200), 0, [this] { CheckEnd(); });
+}
+
+void Soak::CheckEnd()
+{
+  const auto calm = Now() - m_calmSince;
+  if (calm > kCalmTime || (calm > kShortestCalm && m_promises.Unfinished().empty())) {
+    m_context.stop();
+  }
+}
+
+} // namespace mustardtray::soak
