Membership: a node's lease is 1.9 s

Cause: a pool whose owner falls silent stands still until the owner can be evicted, 3.2 s after its last renewal; jobs of a few seconds that come meanwhile are late or go to the inbox.

Change: renewals every 0.5 s, a lease of 1.9 s, eviction after 2.3 s of silence; the view counts as stale after 1.6 s, and runs get the longest lease when less than 1 s of the node's own is left, in proportion.

--- a/include/mustardtray/job/Ownership.h
+++ b/include/mustardtray/job/Ownership.h
@@ -57,10 +57,10 @@
 };
 
 /// How long a node may act after it sent its latest successful renewal.
-inline constexpr Millis kNodeLease{ 2'800 };
+inline constexpr Millis kNodeLease{ 1'900 };
 /// How long others wait after they last saw its row change: the lease, and a margin for clocks that
 /// run at different speeds.
-inline constexpr Millis kSilenceLimit{ 3'200 };
+inline constexpr Millis kSilenceLimit{ 2'300 };
 
 bool IsLive(const NodeRow& aNode, TimePoint aNow);
 OwnershipActions DecideOwnership(const OwnershipView& aView, TimePoint aNow);
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -11,17 +11,17 @@
 namespace {
 
 /// Three renewals fit into the lease, so that one lost answer costs nothing.
-constexpr Millis kRenewPeriod{ 800 };
+constexpr Millis kRenewPeriod{ 500 };
 constexpr double kRenewJitter = 0.1;
 /// Gathers the renewals of all nodes in one answer.
-constexpr Millis kNodePause{ 600 };
+constexpr Millis kNodePause{ 350 };
 /// A slow store answers in this time; a channel that fell silent shows by it.
 constexpr Millis kCallTimeout{ 1'200 };
 constexpr Micros kRetryDelay{ 150'000 };
 /// After registration at a time without owners: lets the nodes that start together see each other.
 constexpr Millis kFirstClaimDelay{ 1'500 };
 /// When polls were further apart than this, the view is stale and silence is counted anew.
-constexpr Millis kStaleView{ 2'500 };
+constexpr Millis kStaleView{ 1'600 };
 
 } // namespace
 
--- a/src/node/MinionTalk.cpp
+++ b/src/node/MinionTalk.cpp
@@ -13,7 +13,7 @@
 constexpr Millis kRunLease{ 3'000 };
 /// When the node's own lease has less left than this, the store is late: runs get the longest
 /// lease, so that they outlive an outage.
-constexpr Millis kLowNodeLease{ 1'300 };
+constexpr Millis kLowNodeLease{ 1'000 };
 /// How long a busy minion waits for an end before it answers.
 constexpr Millis kBusyWait{ 900 };
 constexpr Millis kIdleWait{ 2'000 };
