--- a/tests/soak/RowStore.cpp
+++ b/tests/soak/RowStore.cpp
@@ -3,8 +3,7 @@
 #include <charconv>
 #include <set>
 
-#include <openssl/evp.h>
-
+#include "platform/Base64.h"
 #include "standin/StandinJson.h"
 
 namespace mustardtray::soak {
@@ -17,16 +16,6 @@
 constexpr int kConflict = 412;
 constexpr int kGone = 410;
 
-std::string EncodeBase64(const std::string& aBytes)
-{
-  std::string text((aBytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                                     reinterpret_cast<const unsigned char*>(aBytes.data()),
-                                     static_cast<int>(aBytes.size()));
-  text.resize(static_cast<std::size_t>(length));
-  return text;
-}
-
 std::uint64_t ToNumber(const std::optional<std::string>& aText)
 {
   std::uint64_t value = 0;
@@ -50,7 +39,7 @@
 void RowStore::Put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
 {
   ++m_version;
-  Apply({ aTable, "", aKey, EncodeBase64(aValue), m_version, false });
+  Apply({ aTable, "", aKey, platform::EncodeBase64(aValue), m_version, false });
   WakeFeeds();
 }
 
