Fleet: a machine stays announced while an order to it may be under way

Cause, found by reading: the list of announced machines dropped a machine a turn after its order was sent, but an order can be under way for 1.5 s. With a bounds.lease_ms below 1.2 s a successor could find a machine unannounced that was ordered a moment ago.

Change: the time that an order can take is added.

--- a/include/mustardtray/job/AnnouncedOrders.h
+++ b/include/mustardtray/job/AnnouncedOrders.h
@@ -16,9 +16,11 @@
 class AnnouncedOrders
 {
 public:
-  /// aTurnTime: two holders must not give orders to one machine within it.
-  explicit AnnouncedOrders(Millis aTurnTime)
+  /// aTurnTime: two holders must not give orders to one machine within it. aLongestOrder: from the
+  /// sending of an order to its answer, or to its being given up.
+  AnnouncedOrders(Millis aTurnTime, Millis aLongestOrder)
     : m_turnTime(aTurnTime)
+    , m_longestOrder(aLongestOrder)
   {
   }
 
@@ -41,6 +43,7 @@
   };
 
   Millis m_turnTime;
+  Millis m_longestOrder;
   std::map<std::string, Announcement> m_announced;
   std::map<std::string, TimePoint> m_heldBackUntil;
 };
--- a/src/job/AnnouncedOrders.cpp
+++ b/src/job/AnnouncedOrders.cpp
@@ -24,7 +24,7 @@
 std::set<std::string> AnnouncedOrders::Announce(const std::string& aMachine, TimePoint aNow)
 {
   std::erase_if(m_announced, [&](const auto& aEntry) {
-    return aNow - aEntry.second.m_lastOrderAt > m_turnTime;
+    return aNow - aEntry.second.m_lastOrderAt > m_turnTime + m_longestOrder;
   });
   std::erase_if(m_heldBackUntil, [&](const auto& aEntry) { return aNow >= aEntry.second; });
   m_announced[aMachine].m_lastOrderAt = aNow;
--- a/src/node/FleetHolder.cpp
+++ b/src/node/FleetHolder.cpp
@@ -61,7 +61,7 @@
   , m_planner(
       { aContext.m_settings.m_bounds.m_upkeepTime, aContext.m_settings.m_bounds.m_moveTime })
   , m_journal(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
-  , m_announced(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin)
+  , m_announced(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin, kCallTimeout)
 {
   Load();
   m_listTimer = m_context.m_timers.Every(kListPeriod, 0, [this] { ListMachines(); });
