Fleet: a pool whose units lack memory gets a machine

Cause: machines were counted by processor time alone.

Ruled out: the takeover and the frozen holder; the unit waited long after both, with all minions heard.

Change: an owner says when a unit waits that has processor time on some minion and memory on none, and the planner gives that shard one machine more than it has. Tests of both failed before.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -45,6 +45,8 @@
   std::int64_t m_lastingCpu = 0; ///< Needed by units that last.
   double m_backlogCores = 0;     ///< That accepted jobs and those refused lately could use at once.
   double m_arrivingCores = 0;    ///< That the latest arrivals keep busy; see ArrivalRate.
+  /// A unit waits although minions have the processor time for it: they lack its memory.
+  bool m_lacksMemory = false;
   std::size_t m_spreadMinions = 0; ///< Minions that the widest lasting step has to be spread over.
 };
 
@@ -199,6 +201,8 @@
   };
   Backlog MeasureBacklog(TimePoint aNow) const;
   bool IsLate(const Job& aJob, TimePoint aNow) const;
+  /// Whether units of a queued step fit no minion, for want of memory alone.
+  bool LacksMemory(const StepSpec& aStep, TimePoint aNow) const;
   /// Cores with which the job's work is done within a short objective, but not more than it can
   /// use.
   double UsableCores(const Job& aJob) const;
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -199,6 +199,10 @@
     balance.m_machines = counts[shard];
     balance.m_wanted = std::max(
       { static_cast<std::size_t>(std::ceil(need)), load.m_spreadMinions, kFewestMachines });
+    if (load.m_lacksMemory) {
+      // The need above counts processor time alone; one machine at a time brings memory.
+      balance.m_wanted = std::max(balance.m_wanted, balance.m_machines + 1);
+    }
     balances.push_back(balance);
   }
   return balances;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -385,6 +385,22 @@
   }
 }
 
+bool PoolScheduler::LacksMemory(const StepSpec& aStep, TimePoint aNow) const
+{
+  const Resources need = aStep.Reserved();
+  bool hasCpu = false;
+  for (const auto& [id, minion] : m_minions) {
+    if (!TakesWork(minion, aNow) || minion.Free().m_cpu < need.m_cpu) {
+      continue;
+    }
+    hasCpu = true;
+    if (minion.Free().Fits(need)) {
+      return false;
+    }
+  }
+  return hasCpu;
+}
+
 PoolLoad PoolScheduler::Load(TimePoint aNow) const
 {
   PoolLoad load;
@@ -399,6 +415,7 @@
     for (const Unit& unit : queued.State().m_units) {
       load.m_waitingCpu += !unit.m_isDone && unit.m_minions.empty() ? cpu : 0;
     }
+    load.m_lacksMemory = load.m_lacksMemory || LacksMemory(queued.Spec(), aNow);
   }
   for (const Job* job : m_active) {
     for (const StepSpec& step : job->m_record.m_spec.m_steps) {
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -148,15 +148,11 @@
 std::string EncodeFleetReport(const FleetReport& aReport)
 {
   return json{
-    { "capacity", aReport.m_load.m_capacityCpu },
-    { "used", aReport.m_load.m_usedCpu },
-    { "waiting", aReport.m_load.m_waitingCpu },
-    { "lasting", aReport.m_load.m_lastingCpu },
-    { "backlog", aReport.m_load.m_backlogCores },
-    { "arriving", aReport.m_load.m_arrivingCores },
-    { "spread", aReport.m_load.m_spreadMinions },
-    { "clear", aReport.m_clearMachines },
-    { "idle", aReport.m_idleMachines }
+    { "capacity", aReport.m_load.m_capacityCpu }, { "used", aReport.m_load.m_usedCpu },
+    { "waiting", aReport.m_load.m_waitingCpu },   { "lasting", aReport.m_load.m_lastingCpu },
+    { "backlog", aReport.m_load.m_backlogCores }, { "arriving", aReport.m_load.m_arrivingCores },
+    { "spread", aReport.m_load.m_spreadMinions }, { "lacks-memory", aReport.m_load.m_lacksMemory },
+    { "clear", aReport.m_clearMachines },         { "idle", aReport.m_idleMachines }
   }.dump();
 }
 
@@ -170,6 +166,7 @@
     report.m_load.m_lastingCpu = aIn.at("lasting").get<std::int64_t>();
     report.m_load.m_backlogCores = aIn.at("backlog").get<double>();
     report.m_load.m_arrivingCores = aIn.at("arriving").get<double>();
+    report.m_load.m_lacksMemory = aIn.at("lacks-memory").get<bool>();
     report.m_load.m_spreadMinions = aIn.at("spread").get<std::size_t>();
     report.m_clearMachines = aIn.at("clear").get<std::vector<std::string>>();
     report.m_idleMachines = aIn.at("idle").get<std::vector<std::string>>();
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -177,3 +177,19 @@
   CHECK(orders().contains("cold0"));
   CHECK_FALSE(orders().contains("spare0"));
 }
+
+TEST_CASE("a pool that lacks memory gets a machine, though it has processor time to spare")
+{
+  // Found by a hunt on the grown payplan deployment: holder-frozen-at-renewal --seed 14928042183.
+  FleetFixture fixture;
+  PoolReport report;
+  report.m_load.m_capacityCpu = 64'000;
+  report.m_load.m_lacksMemory = true;
+  report.m_reportedAt = fixture.m_now;
+  fixture.m_planner.SetReport("hot", report);
+  fixture.Report("cold", 0, {});
+  const FleetPlan plan =
+    fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  REQUIRE(plan.m_orders.size() == 1);
+  CHECK(plan.m_orders[0].m_pool == "hot");
+}
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -350,3 +350,16 @@
   REQUIRE(orders.m_questions.size() == 1);
   CHECK(orders.m_questions[0].m_minions == std::vector<std::string>{ "b" });
 }
+
+TEST_CASE("a unit that finds processor time but no memory shows in the load")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  JobRecord large = MakeJob("0123456789abcdef", 2, 1'000);
+  large.m_spec.m_steps[0].m_need.m_memoryMb = 44'592; // Two do not fit a minion of 64,000 MB.
+  fixture.m_pool.AddJob(large, fixture.m_now, false);
+  CHECK(fixture.StartAll().size() == 1);
+  CHECK(fixture.m_pool.Load(fixture.m_now).m_lacksMemory);
+  fixture.AddMinion("b");
+  CHECK_FALSE(fixture.m_pool.Load(fixture.m_now).m_lacksMemory);
+}
