Connection, job: runs are given up only after a call that follows their lease

Cause: after the thread of a node was held up for longer than a call's timeout, libcurl ended all calls at once, also those whose response waited in the socket buffer. Ruled out by reading: acknowledged ends (only stored ones are), run numbers, a second owner.

Change: calls have deadlines of their own; after a delay of the event loop, pending responses are read first. Runs and inherited units are freed when a call that was sent after the end of the lease has failed. A start that is answered as outdated may have been carried out twice, so the next report decides.

Request: latest start keeps a margin for the way back of the response

Change: 25 ms for each entry VM on the way, at most an eighth of the time that the request had on arrival.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -97,7 +97,7 @@
   /// Called for the current incarnation of a machine: minions of earlier ones run nothing any more.
   void OnMachineIncarnation(const MachineIncarnation& aLatest, TimePoint aNow);
   /// Registers a minion to which an earlier owner may have given work: inherited jobs wait until
-  /// the minion has answered or its longest lease has expired.
+  /// the minion has answered, or does not answer after its longest lease has expired.
   void AwaitMinion(const std::string& aId, TimePoint aLeaseEnd);
   void SetCordons(const std::set<std::string>& aMachines, TimePoint aNow);
   /// aAskedAt: when the request to the advisor was sent.
@@ -113,7 +113,8 @@
                      const LeaseReport& aReport,
                      TimePoint aAskedAt,
                      TimePoint aNow);
-  void OnLeaseExtensionFailed(const std::string& aMinion);
+  /// aAskedAt: when the extension that got no answer was sent.
+  void OnLeaseExtensionFailed(const std::string& aMinion, TimePoint aAskedAt);
   /// Called when the minion has been told that ends up to a number are stored.
   void OnEndsAcknowledged(const std::string& aMinion, std::uint64_t aNumber);
   /// Called for each lease that was sent to the minion, whether it was answered or not.
@@ -176,6 +177,8 @@
   void MarkUnsaved(Job& aJob);
   Unit* FindUnit(const UnitId& aId, Job** aJob);
   void ExpireLeases(TimePoint aNow);
+  /// Whether the minion's leases have expired and it did not answer a call that was sent later.
+  bool IsGivenUp(const MinionState& aMinion, TimePoint aNow) const;
   void PlaceQueued(TimePoint aNow);
   bool PlaceUnits(QueuedStep& aQueued, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -112,6 +112,7 @@
   std::uint64_t m_lastAcknowledgedEnd = 0; ///< Ends up to this number have been acknowledged.
   int m_consecutiveFailures = 0;           ///< Failures of different jobs since the last success.
   int m_missedCalls = 0;                   ///< Consecutive calls without an answer.
+  TimePoint m_failedCallSentAt{}; ///< When the latest lease extension without an answer was sent.
   std::string m_lastFailedJob;
   TimePoint m_probeAt{};     ///< When a suspicious minion may get a unit again, as a probe.
   TimePoint m_pausedUntil{}; ///< Gets no work until then because it refused an order.
--- a/include/mustardtray/request/RequestQueue.h
+++ b/include/mustardtray/request/RequestQueue.h
@@ -31,7 +31,8 @@
 {
   RequestInfo m_info;
   RequestQueue* m_queue = nullptr;
-  std::uint64_t m_arrival = 0; ///< Sequence number of the arrival.
+  std::uint64_t m_arrival = 0;  ///< Sequence number of the arrival.
+  Micros m_responseMargin{ 0 }; ///< Reserved before the deadline for the response's way back.
   bool m_isWaiting = true;
   bool m_mayForward = true; ///< False after it was forwarded to a peer once.
   bool m_mayHaveRun = false;
--- a/include/mustardtray/request/Scheduler.h
+++ b/include/mustardtray/request/Scheduler.h
@@ -77,6 +77,8 @@
   void AdvanceCredits(TimePoint aNow);
   void UpdateUrgentReserve(TimePoint aNow);
   bool CannotMeetDeadline(TimePoint aNow, const AdmittedRequest& aRequest) const;
+  /// Latest start after which the response would not reach the caller by the deadline.
+  static TimePoint LatestStart(TimePoint aNow, const AdmittedRequest& aRequest);
   Micros ExpectedWait(TimePoint aNow, const RequestQueue& aQueue) const;
   std::optional<RefusalReason> CheckAdmission(TimePoint aNow,
                                               const AdmittedRequest& aRequest) const;
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -1,8 +1,11 @@
 #include "mustardtray/connection/HttpClient.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <sys/socket.h>
@@ -20,6 +23,10 @@
 
 constexpr long kMaxIdleConnections = 1024;
 constexpr std::size_t kMaxPooledHandles = 256;
+/// A timer that fires later than this shows that the thread was held up.
+constexpr Millis kMaxTimerDelay{ 20 };
+/// Rounds of the event loop in which pending responses are read before late calls time out.
+constexpr int kRoundsBeforeLateTimeout = 8;
 
 void InitializeCurl()
 {
@@ -54,6 +61,7 @@
   HttpResponse m_response;
   HeaderList m_headers;
   CURL* m_easy = nullptr;
+  std::chrono::steady_clock::time_point m_deadline{};
   bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
   bool m_isTooLarge = false;
 };
@@ -124,6 +132,7 @@
   Implementation(asio::io_context& aContext, std::string aLocalAddress)
     : m_context(aContext)
     , m_timer(aContext)
+    , m_deadlineTimer(aContext)
     , m_localAddress(std::move(aLocalAddress))
   {
     InitializeCurl();
@@ -156,6 +165,8 @@
     curl_multi_cleanup(m_multi);
     m_multi = nullptr;
     m_timer.cancel();
+    m_deadlineTimer.cancel();
+    m_deadlines.clear();
     m_socketWatches.clear();
   }
 
@@ -170,8 +181,13 @@
     SetOptions(*transfer);
     CURL* easy = transfer->m_easy;
     const CallId id = transfer->m_id;
+    transfer->m_deadline = std::chrono::steady_clock::now() + transfer->m_call.m_timeout;
+    m_deadlines.emplace(transfer->m_deadline, id);
     m_transfers.emplace(id, std::move(transfer));
     curl_multi_add_handle(m_multi, easy);
+    if (m_deadlines.begin()->second == id) {
+      ArmDeadlineTimer();
+    }
     return id;
   }
 
@@ -183,6 +199,7 @@
     }
     curl_multi_remove_handle(m_multi, found->second->m_easy);
     curl_easy_cleanup(found->second->m_easy);
+    m_deadlines.erase({ found->second->m_deadline, aId });
     m_transfers.erase(found);
   }
 
@@ -243,7 +260,6 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseWithReset);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.m_timeout.count()));
     curl_easy_setopt(
       easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.m_connectTimeout.count()));
     if (!m_localAddress.empty()) {
@@ -303,6 +319,42 @@
     });
   }
 
+  /// libcurl's own timeout is not used: it also ends calls whose response waits to be read, which
+  /// happens to all calls at once after the thread was held up.
+  void ArmDeadlineTimer()
+  {
+    m_deadlineTimer.expires_at(m_deadlines.begin()->first);
+    m_deadlineTimer.async_wait([weak = weak_from_this()](const asio::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->OnDeadline(0);
+      }
+    });
+  }
+
+  void OnDeadline(int aRound)
+  {
+    if (m_deadlines.empty()) {
+      return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const bool isLate = now - m_deadlines.begin()->first > kMaxTimerDelay;
+    if (isLate && aRound < kRoundsBeforeLateTimeout) {
+      asio::post(m_context, [weak = weak_from_this(), aRound] {
+        if (const auto self = weak.lock()) {
+          self->OnDeadline(aRound + 1);
+        }
+      });
+      return;
+    }
+    while (m_multi && !m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+      Finish(m_transfers.at(m_deadlines.begin()->second)->m_easy, CURLE_OPERATION_TIMEDOUT);
+    }
+    if (m_multi && !m_deadlines.empty()) {
+      ArmDeadlineTimer();
+    }
+  }
+
   void WatchSocket(curl_socket_t aSocket, int aEvents)
   {
     if (aEvents == CURL_POLL_REMOVE) {
@@ -406,6 +458,7 @@
     const auto found = m_transfers.find(privateTransfer->m_id);
     const std::unique_ptr<Transfer> transfer = std::move(found->second);
     m_transfers.erase(found);
+    m_deadlines.erase({ transfer->m_deadline, transfer->m_id });
     long status = 0;
     curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
     transfer->m_response.m_status = static_cast<int>(status);
@@ -452,10 +505,13 @@
 
   asio::io_context& m_context;
   asio::steady_timer m_timer;
+  asio::steady_timer m_deadlineTimer;
   std::string m_localAddress;
   CURLM* m_multi = nullptr;
   CallId m_lastId = 0;
   std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
+  /// Calls in the order in which they time out.
+  std::set<std::pair<std::chrono::steady_clock::time_point, CallId>> m_deadlines;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> m_socketWatches;
   std::vector<CURL*> m_handlePool;
 };
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -53,7 +53,7 @@
     return;
   }
   found->second.m_isRegistered = false;
-  if (found->second.m_runs.empty() && aNow > found->second.m_leaseEnd) {
+  if (found->second.m_runs.empty() && aNow > found->second.m_leaseEnd && !m_awaited.contains(aId)) {
     m_minions.erase(found);
   }
 }
@@ -81,8 +81,10 @@
 
 bool PoolScheduler::IsRecovering(TimePoint aNow) const
 {
-  return std::any_of(
-    m_awaited.begin(), m_awaited.end(), [&](const auto& aEntry) { return aNow < aEntry.second; });
+  return std::any_of(m_awaited.begin(), m_awaited.end(), [&](const auto& aEntry) {
+    const auto minion = m_minions.find(aEntry.first);
+    return aNow < aEntry.second || (minion != m_minions.end() && !IsGivenUp(minion->second, aNow));
+  });
 }
 
 void PoolScheduler::SetCordons(const std::set<std::string>& aMachines, TimePoint aNow)
@@ -169,7 +171,12 @@
       minion.m_isFenced = false;
       break;
     case OrderResult::Outdated:
-      break;
+      // The order may have reached the minion twice: the first time it may have been carried out,
+      // and the run may have ended. The next report shows its end.
+      run.m_phase = RunPhase::Stopping;
+      run.m_isStopConfirmed = true;
+      run.m_confirmedAt = aNow;
+      return;
   }
   if (run.m_phase != RunPhase::Running) {
     DropRun(minion, aOrder.m_unit, aNow);
@@ -193,11 +200,12 @@
   }
 }
 
-void PoolScheduler::OnLeaseExtensionFailed(const std::string& aMinion)
+void PoolScheduler::OnLeaseExtensionFailed(const std::string& aMinion, TimePoint aAskedAt)
 {
   const auto found = m_minions.find(aMinion);
   if (found != m_minions.end()) {
     ++found->second.m_missedCalls;
+    found->second.m_failedCallSentAt = aAskedAt;
   }
 }
 
@@ -484,17 +492,26 @@
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
-    const bool isLeaseExpired = aNow > minion.m_leaseEnd + kLeaseExpiryMargin;
-    if (isLeaseExpired && !minion.m_runs.empty()) {
+    if (IsGivenUp(minion, aNow)) {
       DropAllRuns(minion, aNow);
+      m_awaited.erase(entry->first);
     }
-    if (isLeaseExpired && !minion.m_isRegistered) {
+    const bool isUnused = minion.m_runs.empty() && !m_awaited.contains(entry->first) &&
+                          aNow > minion.m_leaseEnd + kLeaseExpiryMargin;
+    if (isUnused && !minion.m_isRegistered) {
       entry = m_minions.erase(entry);
     } else {
       ++entry;
     }
   }
-  std::erase_if(m_awaited, [&](const auto& aEntry) { return aNow >= aEntry.second; });
+}
+
+bool PoolScheduler::IsGivenUp(const MinionState& aMinion, TimePoint aNow) const
+{
+  // Expired leases are not enough: if this node was late, an answer that lists the ends of the runs
+  // may still wait to be read.
+  return aNow > aMinion.m_leaseEnd + kLeaseExpiryMargin &&
+         aMinion.m_failedCallSentAt > aMinion.m_leaseEnd;
 }
 
 } // namespace mustardtray::job
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -144,7 +144,7 @@
           aReport.error().Text());
     }
     m_isUnreachable = true;
-    m_owner.m_scheduler.OnLeaseExtensionFailed(m_minion);
+    m_owner.m_scheduler.OnLeaseExtensionFailed(m_minion, aAskedAt);
     ScheduleHold(kRetryDelay);
     return;
   }
--- a/src/request/Scheduler.cpp
+++ b/src/request/Scheduler.cpp
@@ -14,6 +14,10 @@
 /// A retryable attempt times out after half of the time left, if that is more than this multiple of
 /// the upper estimate of the run time.
 constexpr int kRunsBeforeEarlyTimeout = 3;
+/// Reserved before the deadline for the response's way back, for each entry VM on it.
+constexpr Micros kResponseMargin = std::chrono::milliseconds(25);
+/// The margin is at most this part of the time that the request has when it arrives.
+constexpr int kMaxMarginDivisor = 8;
 
 /// Limits the reserve for urgent requests to half of the slots, so that may-wait requests can use
 /// the other half.
@@ -22,6 +26,14 @@
   return aTotalSlots / 2;
 }
 
+Micros ResponseMargin(TimePoint aNow, const RequestInfo& aRequest)
+{
+  const int entryVms =
+    1 + (aRequest.m_hops.m_withinZone ? 1 : 0) + (aRequest.m_hops.m_acrossZones ? 1 : 0);
+  const Micros timeLeft = std::max(Micros(0), Micros(aRequest.m_deadline - aNow));
+  return std::min(kResponseMargin * entryVms, timeLeft / kMaxMarginDivisor);
+}
+
 } // namespace
 
 Scheduler::Scheduler(ServiceConfig aConfig, SchedulerPolicy aPolicy)
@@ -63,6 +75,7 @@
   request->m_info = aRequest;
   request->m_queue = queue;
   request->m_arrival = ++m_arrivals;
+  request->m_responseMargin = ResponseMargin(aNow, aRequest);
   if (m_requests.contains(aRequest.m_id)) {
     return MakeRefusal(aNow, *request, RefusalReason::DuplicateId);
   }
@@ -99,7 +112,7 @@
   // estimated.
   const bool isWaitKnown = hasMinions && !peersHaveCapacity;
   const Micros wait = isWaitKnown ? ExpectedWait(aNow, queue) : Micros(0);
-  if (aNow + wait + queue.m_runTime.UpperEstimate(aNow) > aRequest.m_info.m_deadline) {
+  if (aNow + wait > LatestStart(aNow, aRequest)) {
     return RefusalReason::DeadlineTooClose;
   }
   return std::nullopt;
@@ -107,7 +120,13 @@
 
 bool Scheduler::CannotMeetDeadline(TimePoint aNow, const AdmittedRequest& aRequest) const
 {
-  return aNow + aRequest.m_queue->m_runTime.UpperEstimate(aNow) > aRequest.m_info.m_deadline;
+  return aNow > LatestStart(aNow, aRequest);
+}
+
+TimePoint Scheduler::LatestStart(TimePoint aNow, const AdmittedRequest& aRequest)
+{
+  return aRequest.m_info.m_deadline - aRequest.m_queue->m_runTime.UpperEstimate(aNow) -
+         aRequest.m_responseMargin;
 }
 
 Micros Scheduler::ExpectedWait(TimePoint aNow, const RequestQueue& aQueue) const
@@ -394,8 +413,7 @@
 
 void Scheduler::UpdateNextExpiry(TimePoint aNow, const AdmittedRequest& aRequest)
 {
-  const TimePoint latestStart =
-    aRequest.m_info.m_deadline - aRequest.m_queue->m_runTime.UpperEstimate(aNow);
+  const TimePoint latestStart = LatestStart(aNow, aRequest);
   m_nextExpiry = m_nextExpiry ? std::min(*m_nextExpiry, latestStart) : latestStart;
 }
 
--- a/tests/connection/HttpClientTest.cpp
+++ b/tests/connection/HttpClientTest.cpp
@@ -67,3 +67,33 @@
   CHECK_FALSE(result.error().m_isNotSent);
   CHECK(server.Requests() == 1);
 }
+
+TEST_CASE("HttpClient delivers a response that arrived in time although its thread was held up")
+{
+  constexpr int kCalls = 20;
+  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", kCalls);
+  asio::io_context context;
+  HttpClient client(context);
+  int answered = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    HttpCall call = CallTo(server.Port());
+    call.m_timeout = Millis(300);
+    client.Start(std::move(call), [&](HttpCallResult aResult) { answered += aResult ? 1 : 0; });
+  }
+  context.run_for(Millis(50));
+  std::this_thread::sleep_for(Millis(600));
+  context.run_for(Millis(200));
+  CHECK(client.Running() == 0);
+  CHECK(answered == kCalls);
+}
+
+TEST_CASE("HttpClient ends a call that gets no response at its timeout")
+{
+  asio::io_context serverContext;
+  asio::ip::tcp::acceptor silent(serverContext, Loopback(0));
+  HttpCall call = CallTo(silent.local_endpoint().port());
+  call.m_timeout = Millis(100);
+  const HttpCallResult result = CallAndWait(std::move(call));
+  REQUIRE(result.has_error());
+  CHECK(result.error().m_error.m_kind == ErrorKind::Unknown);
+}
--- a/tests/request/SchedulerTest.cpp
+++ b/tests/request/SchedulerTest.cpp
@@ -150,6 +150,26 @@
   CHECK(refusal->m_reason == RefusalReason::QueueFull);
 }
 
+TEST_CASE("Scheduler starts no waiting request whose response could only arrive at its deadline")
+{
+  SchedulerFixture fixture;
+  for (int i = 0; i < 100; ++i) {
+    fixture.RunRequest(kMayWait, AttemptOutcome::Succeeded);
+  }
+  for (int i = 0; i < 9; ++i) {
+    fixture.Offer(kMayWait, true, 3s);
+  }
+  REQUIRE(fixture.Start() == 8);
+  fixture.m_now += 2'900ms;
+  for (RequestId id = 101; id <= 108; ++id) {
+    fixture.Finish(id, AttemptOutcome::Succeeded);
+  }
+  CHECK(fixture.Start() == 0);
+  const auto expired = fixture.m_scheduler.Expire(fixture.m_now);
+  REQUIRE(expired.size() == 1);
+  CHECK_FALSE(expired[0].m_refusal.m_mayHaveRun);
+}
+
 TEST_CASE("Scheduler expires queued requests at their deadline without starting them")
 {
   SchedulerFixture fixture;
