--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -17,6 +17,8 @@
 constexpr const char* kAnnouncedMachinesTable =
   "announced"; ///< Machines that recently got orders; one row.
 constexpr Millis kPlanPeriod{ 200 };
+/// Limits the calls to the owners of shards, so that this node's work does not grow with the fleet.
+constexpr std::size_t kMaxSyncsPerSecond = 200;
 /// Short compared with a move, so that a machine that has arrived soon gets its next order.
 constexpr Millis kMachineListPeriod{ 400 };
 constexpr Millis kCallTimeout{ 1'500 };
@@ -55,10 +57,17 @@
 FleetOrderController::FleetOrderController(NodeContext& aContext,
                                            const job::OwnerRow& aClaim,
                                            SyncPoolFunction aSyncPool,
+                                           MachinesFunction aOnMachines,
                                            std::function<void()> aOnLost)
   : m_context(aContext)
   , m_claim(aClaim)
   , m_syncPool(std::move(aSyncPool))
+  , m_onMachines(std::move(aOnMachines))
+  , m_machineListReader(aContext,
+                        [this](std::vector<job::Machine> aMachines, TimePoint aAskedAt) {
+                          m_onMachines(aMachines);
+                          m_planner.SetMachines(std::move(aMachines), aAskedAt);
+                        })
   , m_planner(
       { aContext.m_settings.m_bounds.m_upkeepTime, aContext.m_settings.m_bounds.m_moveTime })
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
@@ -151,28 +160,9 @@
 
 void FleetOrderController::ListMachines()
 {
-  if (m_isListing || m_isDraining) {
-    return;
+  if (!m_isDraining) {
+    m_machineListReader.Start();
   }
-  m_isListing = true;
-  m_context.m_machineClient.List(
-    kCallTimeout,
-    [this, askedAt = LeaseClockNow(), alive = std::weak_ptr<int>(m_alive)](
-      Result<std::vector<job::Machine>> aList) {
-      if (alive.expired()) {
-        return;
-      }
-      m_isListing = false;
-      if (!aList) {
-        Log(LogCategory::Fleet,
-            LogLevel::Warning,
-            "machine-list-failed",
-            "error",
-            aList.error().Text());
-        return;
-      }
-      m_planner.SetMachines(std::move(aList.value()), askedAt);
-    });
 }
 
 void FleetOrderController::Tick()
@@ -183,13 +173,19 @@
   const job::Deployment& deployment = m_context.m_deployment;
   const job::FleetPlan plan = m_planner.Plan(deployment, m_context.m_shards, LeaseClockNow());
   m_cordons = plan.m_cordons;
+  std::vector<std::string> shards;
   for (const job::PoolSpec& pool : deployment.m_pools) {
     if (pool.m_isSpare) {
       SendPoolOrders(plan, pool.m_name);
     } else {
-      for (const std::string& shard : m_context.m_shards.Names(pool.m_name)) {
-        SyncPool(shard);
-      }
+      const std::vector<std::string> names = m_context.m_shards.Names(pool.m_name);
+      shards.insert(shards.end(), names.begin(), names.end());
+    }
+  }
+  const Millis syncInterval{ static_cast<Millis::rep>(shards.size() * 1'000 / kMaxSyncsPerSecond) };
+  for (const std::string& shard : shards) {
+    if (LeaseClockNow() - m_syncedAt[shard] >= syncInterval) {
+      SyncPool(shard);
     }
   }
   for (const std::uint64_t wave : plan.m_completedWaves) {
@@ -205,6 +201,7 @@
     return;
   }
   const TimePoint askedAt = LeaseClockNow();
+  m_syncedAt[aPool] = askedAt;
   m_syncPool(
     aPool,
     m_cordons[aPool],
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -11,6 +11,7 @@
 #include "mustardtray/job/AnnouncedOrders.h"
 #include "mustardtray/job/FleetPlanner.h"
 #include "mustardtray/job/Ownership.h"
+#include "node/MachineListReader.h"
 #include "node/NodeContext.h"
 #include "node/PoolBatchWriter.h"
 #include "node/PoolOwner.h"
@@ -23,12 +24,16 @@
                                             const std::set<std::string>& aCordons,
                                             std::function<void(Result<FleetReport>)> aDone)>;
 
+/// Called with each complete list of machines.
+using MachinesFunction = std::function<void(const std::vector<job::Machine>&)>;
+
 class FleetOrderController
 {
 public:
   FleetOrderController(NodeContext& aContext,
                        const job::OwnerRow& aClaim,
                        SyncPoolFunction aSyncPool,
+                       MachinesFunction aOnMachines,
                        std::function<void()> aOnLost);
   ~FleetOrderController();
   FleetOrderController(const FleetOrderController&) = delete;
@@ -59,6 +64,8 @@
   NodeContext& m_context;
   job::OwnerRow m_claim;
   SyncPoolFunction m_syncPool;
+  MachinesFunction m_onMachines;
+  MachineListReader m_machineListReader;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   job::FleetPlanner m_planner;
   PoolBatchWriter m_batchWriter;
@@ -66,6 +73,7 @@
   std::vector<job::WaveRequest> m_deferredWaves;
   std::map<std::string, std::set<std::string>> m_cordons;
   std::set<std::string> m_pendingSyncs;
+  std::map<std::string, TimePoint> m_syncedAt; ///< When a pool's owner was last asked.
   std::set<std::string> m_pendingOrders;
   std::set<std::uint64_t> m_pendingStatusWrites;
   job::AnnouncedOrders m_announcedOrders;
@@ -73,7 +81,6 @@
   std::size_t m_tablesToLoad = 0;
   bool m_isLoaded = false;
   bool m_isDraining = false;
-  bool m_isListing = false;
   TimerHandle m_periodicTimer;
   TimerHandle m_listTimer;
   std::map<std::string, TimerHandle> m_readRetryTimers; ///< Timers of repeated reads, by table.
--- /dev/null
+++ b/src/node/MachineListReader.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// Reads the list of all machines page by page. All nodes together may read a limited number of
+/// pages in a second, so pages are spaced, and a page that is refused is asked for again by itself.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mustardtray/process/Backoff.h"
+#include "node/NodeContext.h"
+
+namespace mustardtray::node {
+
+class MachineListReader
+{
+public:
+  /// aAskedAt: when the first page was asked for.
+  using ListCallback = std::function<void(std::vector<job::Machine>, TimePoint aAskedAt)>;
+
+  MachineListReader(NodeContext& aContext, ListCallback aOnList);
+  MachineListReader(const MachineListReader&) = delete;
+  MachineListReader& operator=(const MachineListReader&) = delete;
+
+  /// Begins to read the list, unless it is being read.
+  void Start();
+
+private:
+  void ReadPage();
+  void OnPage(Result<platform::MachinePage> aPage);
+  void ReadPageAfter(Micros aDelay);
+
+  NodeContext& m_context;
+  ListCallback m_onList;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+  Backoff m_backoff;
+  TimerHandle m_nextPageTimer;
+  std::string m_token; ///< Of the page that is read next.
+  std::vector<job::Machine> m_machines;
+  TimePoint m_askedAt{};
+  int m_failures = 0; ///< Failed calls since the latest page.
+  bool m_isReading = false;
+};
+
+} // namespace mustardtray::node
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -17,13 +17,18 @@
 constexpr Millis kNodePollInterval{ 350 };
 /// Even a slow store answers within this time, so a longer silence means a broken connection.
 constexpr Millis kCallTimeout{ 1'200 };
-constexpr Micros kRetryDelay{ 150'000 };
+constexpr Millis kFirstRetryDelay{ 150 };
+constexpr Millis kLongestRetryDelay{ 600 };
+/// Batches the changes that lead to a decision.
+constexpr Micros kDecisionDelay{ 20'000 };
 /// Delay after registration when no pool has an owner, so that nodes that start together see each
 /// other before they claim pools.
 constexpr Millis kFirstClaimDelay{ 1'500 };
 /// When polls are further apart than this, the view is stale, and the silence of other nodes is
 /// measured from the next poll on.
 constexpr Millis kMaxViewAge{ 1'600 };
+/// All live nodes renew their rows within this time, so that a new view has all of them.
+constexpr Millis kCompleteViewTime{ 1'200 };
 
 } // namespace
 
@@ -33,15 +38,14 @@
   : m_context(aContext)
   , m_callbacks(std::move(aCallbacks))
   , m_address(std::move(aPeerAddress))
+  , m_backoff(kFirstRetryDelay, kLongestRetryDelay)
 {
   m_view.m_self = aContext.m_settings.m_nodeName;
   Register();
   m_nodeFollower = std::make_unique<TableFollower>(
     aContext,
-    TableFollowerOptions{ kNodeTable, false, Millis{ 1'000 }, kNodePollInterval },
-    [this](const std::vector<platform::Row>& aRows, bool aIsComplete) {
-      OnNodes(aRows, aIsComplete);
-    });
+    TableFollowerOptions{ kNodeTable, false, Millis{ 1'000 }, kNodePollInterval, true },
+    [this](const std::vector<platform::Row>& aRows, bool) { OnNodes(aRows); });
   m_ownerFollower = std::make_unique<TableFollower>(
     aContext,
     TableFollowerOptions{ kOwnerTable, false, Millis{ 1'500 }, Millis{ 0 } },
@@ -52,6 +56,7 @@
     Renew();
     // A node that stops responding changes no row, so ownership is also checked periodically.
     UpdateOwnership();
+    ReadSilentOwners();
   });
 }
 
@@ -72,7 +77,7 @@
       }
       m_isOwnRowCallPending = false;
       if (!aPage) {
-        m_retryTimer = m_context.m_timers.After(kRetryDelay, [this] { Register(); });
+        m_retryTimer = m_context.m_timers.After(m_backoff.Next(), [this] { Register(); });
         return;
       }
       m_view.m_incarnation = fmt::format("{}-{}", m_context.m_incarnation, ++m_registrationCount);
@@ -93,44 +98,44 @@
   transaction.m_writes.push_back({ rowId, job::EncodeNodeRow(row) });
   const TimePoint sentAt = LeaseClockNow();
   m_isOwnRowCallPending = true;
-  m_context.m_store.Commit(transaction,
-                           kCallTimeout,
-                           [this, sentAt, alive = std::weak_ptr<int>(m_alive)](
-                             Result<platform::TransactionResult> aResult) {
-                             if (alive.expired()) {
-                               return;
-                             }
-                             m_isOwnRowCallPending = false;
-                             if (!aResult) {
-                               if (!m_isRegistered) {
-                                 m_retryTimer =
-                                   m_context.m_timers.After(kRetryDelay, [this] { Register(); });
-                               } else {
-                                 m_retryTimer =
-                                   m_context.m_timers.After(kRetryDelay, [this] { Renew(); });
-                               }
-                               return;
-                             }
-                             m_storeAnsweredAt = LeaseClockNow();
-                             const platform::TransactionResult& result = aResult.value();
-                             if (result.m_isApplied) {
-                               m_ownVersion = result.m_version;
-                               m_context.m_lease.Extend(sentAt + job::kNodeLease);
-                               if (!m_isRegistered) {
-                                 m_isRegistered = true;
-                                 m_registeredAt = LeaseClockNow();
-                                 Log(LogCategory::Membership,
-                                     LogLevel::Info,
-                                     "registered",
-                                     "incarnation",
-                                     m_view.m_incarnation,
-                                     "version",
-                                     m_ownVersion);
-                               }
-                               return;
-                             }
-                             OnOwnRowChanged(result.m_conflictingRows);
-                           });
+  m_context.m_store.Commit(
+    transaction,
+    kCallTimeout,
+    [this, sentAt, alive = std::weak_ptr<int>(m_alive)](
+      Result<platform::TransactionResult> aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      m_isOwnRowCallPending = false;
+      if (!aResult) {
+        if (!m_isRegistered) {
+          m_retryTimer = m_context.m_timers.After(m_backoff.Next(), [this] { Register(); });
+        } else {
+          m_retryTimer = m_context.m_timers.After(m_backoff.Next(), [this] { Renew(); });
+        }
+        return;
+      }
+      m_storeAnsweredAt = LeaseClockNow();
+      m_backoff.Reset();
+      const platform::TransactionResult& result = aResult.value();
+      if (result.m_isApplied) {
+        m_ownVersion = result.m_version;
+        m_context.m_lease.Extend(sentAt + job::kNodeLease);
+        if (!m_isRegistered) {
+          m_isRegistered = true;
+          m_registeredAt = LeaseClockNow();
+          Log(LogCategory::Membership,
+              LogLevel::Info,
+              "registered",
+              "incarnation",
+              m_view.m_incarnation,
+              "version",
+              m_ownVersion);
+        }
+        return;
+      }
+      OnOwnRowChanged(result.m_conflictingRows);
+    });
 }
 
 void Membership::OnOwnRowChanged(const std::vector<platform::Row>& aRows)
@@ -186,7 +191,7 @@
 
 // View of the other nodes.
 
-void Membership::OnNodes(const std::vector<platform::Row>& aRows, bool aIsComplete)
+void Membership::OnNodes(const std::vector<platform::Row>& aRows)
 {
   const TimePoint now = LeaseClockNow();
   m_storeAnsweredAt = now;
@@ -197,16 +202,31 @@
     }
   }
   m_nodesPolledAt = now;
-  std::map<std::string, job::NodeRow> before;
-  if (aIsComplete) {
-    before.swap(m_view.m_nodes);
+  if (m_nodesFollowedSince == TimePoint{}) {
+    m_nodesFollowedSince = now;
   }
+  ApplyNodeRows(aRows);
+}
+
+void Membership::ApplyNodeRows(const std::vector<platform::Row>& aRows)
+{
+  const TimePoint now = LeaseClockNow();
   for (const platform::Row& row : aRows) {
     const std::string& name = row.m_rowId.m_partition;
     if (row.m_isDeleted) {
       m_view.m_nodes.erase(name);
       continue;
     }
+    const auto known = m_view.m_nodes.find(name);
+    if (known != m_view.m_nodes.end() && known->second.m_version >= row.m_version) {
+      continue;
+    }
+    if (known != m_view.m_nodes.end() && known->second.m_encoded == row.m_value) {
+      // A renewal writes the same value again.
+      known->second.m_version = row.m_version;
+      known->second.m_changedAt = now;
+      continue;
+    }
     auto decoded = job::DecodeNodeRow(name, row.m_value);
     if (!decoded) {
       Log(LogCategory::Membership,
@@ -221,16 +241,38 @@
     job::NodeRow node = std::move(decoded.value());
     node.m_version = row.m_version;
     node.m_changedAt = now;
-    const auto known = before.find(name);
-    if (known != before.end() && known->second.m_version == node.m_version) {
-      node.m_changedAt = known->second.m_changedAt;
-    }
-    const auto present = m_view.m_nodes.find(name);
-    if (present == m_view.m_nodes.end() || present->second.m_version < node.m_version) {
-      m_view.m_nodes[name] = std::move(node);
+    node.m_encoded = row.m_value;
+    m_view.m_nodes[name] = std::move(node);
+  }
+  RequestDecision();
+}
+
+void Membership::ReadSilentOwners()
+{
+  const TimePoint now = LeaseClockNow();
+  if (m_nodesFollowedSince == TimePoint{} || now - m_nodesFollowedSince < job::kNodeTimeout) {
+    return;
+  }
+  for (const auto& [pool, owner] : m_view.m_owners) {
+    const std::string& name = owner.m_node;
+    if (owner.m_isReleased || m_view.m_nodes.contains(name) ||
+        !m_pendingNodeReads.insert(name).second) {
+      continue;
     }
+    m_context.m_store.Read(
+      { kNodeTable, name, kSingleRowKey },
+      "",
+      kCallTimeout,
+      [this, name, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
+        if (alive.expired()) {
+          return;
+        }
+        m_pendingNodeReads.erase(name);
+        if (aPage) {
+          ApplyNodeRows(aPage.value().m_rows);
+        }
+      });
   }
-  UpdateOwnership();
 }
 
 void Membership::OnOwners(const std::vector<platform::Row>& aRows, bool aIsComplete)
@@ -258,7 +300,7 @@
     }
     m_view.m_owners[row.m_rowId.m_partition] = std::move(decoded.value());
   }
-  UpdateOwnership();
+  RequestDecision();
 }
 
 bool Membership::IsOwnedByThisNode(const job::OwnerRow& aOwner) const
@@ -309,7 +351,13 @@
 
 void Membership::RequestDecision()
 {
-  m_decisionTimer = m_context.m_timers.After(Micros{ 0 }, [this] { UpdateOwnership(); });
+  if (m_decisionTimer.IsActive()) {
+    return;
+  }
+  m_decisionTimer = m_context.m_timers.After(kDecisionDelay, [this] {
+    m_decisionTimer.Cancel();
+    UpdateOwnership();
+  });
 }
 
 void Membership::ForgetOwnership(const std::string& aPool)
@@ -324,6 +372,9 @@
   if (!m_isRegistered || !HasOwnerView() || isStale || !m_context.m_lease.IsValid()) {
     return;
   }
+  if (m_nodesFollowedSince == TimePoint{} || now - m_nodesFollowedSince < kCompleteViewTime) {
+    return;
+  }
   if (m_view.m_owners.empty() && now - m_registeredAt < kFirstClaimDelay) {
     return;
   }
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "mustardtray/job/Ownership.h"
+#include "mustardtray/process/Backoff.h"
 #include "node/NodeContext.h"
 #include "node/TableFollower.h"
 
@@ -55,7 +56,11 @@
   /// Handles a failed write of this node's row: it is not the one that this node wrote last.
   void OnOwnRowChanged(const std::vector<platform::Row>& aRows);
   void Renew();
-  void OnNodes(const std::vector<platform::Row>& aRows, bool aIsComplete);
+  /// Called with each answer to a poll of the table.
+  void OnNodes(const std::vector<platform::Row>& aRows);
+  void ApplyNodeRows(const std::vector<platform::Row>& aRows);
+  /// Reads the rows of owners that have not renewed them since this node follows the table.
+  void ReadSilentOwners();
   void OnOwners(const std::vector<platform::Row>& aRows, bool aIsComplete);
   void UpdateOwnership();
   void EvictNode(const std::string& aNode);
@@ -76,13 +81,16 @@
   std::uint32_t m_registrationCount = 0;
   TimePoint m_registeredAt{};
   TimePoint m_nodesPolledAt{};
+  TimePoint m_nodesFollowedSince{};
   TimePoint m_storeAnsweredAt{};
   std::set<std::string> m_pendingOwnershipWrites;
+  std::set<std::string> m_pendingNodeReads;
   std::set<std::string> m_ownedPools;
   std::unique_ptr<TableFollower> m_nodeFollower;
   std::unique_ptr<TableFollower> m_ownerFollower;
   TimerHandle m_renewTimer;
   TimerHandle m_retryTimer;
+  Backoff m_backoff;
   TimerHandle m_decisionTimer;
 };
 
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -215,7 +215,7 @@
         m_context.m_deployment.m_version,
         "queues",
         m_context.m_deployment.m_queues.size());
-    m_shardDirectory->LookUpShardCounts();
+    m_shardDirectory->FollowUntilComplete();
     m_membership->RequestDecision();
   }
 
@@ -297,6 +297,9 @@
                std::function<void(Result<FleetReport>)> aDone) {
           SyncPool(aPool, aCordons, std::move(aDone));
         },
+        [this](const std::vector<job::Machine>& aMachines) {
+          m_shardDirectory->WriteMissing(aMachines);
+        },
         onLost);
       for (const auto& [number, wave] : m_knownWaves) {
         m_orderController->AddWave(wave);
--- a/src/node/ShardDirectory.cpp
+++ b/src/node/ShardDirectory.cpp
@@ -1,13 +1,17 @@
 #include "node/ShardDirectory.h"
 
+#include <charconv>
+#include <map>
+
 #include "mustardtray/process/Log.h"
 
 namespace mustardtray::node {
 
 namespace {
 
-constexpr Millis kTimeout{ 1'500 };
-constexpr Millis kRetryDelay{ 300 };
+constexpr Millis kWriteTimeout{ 1'500 };
+/// Longest wait for a change in one poll.
+constexpr Millis kFollowWait{ 5'000 };
 
 } // namespace
 
@@ -17,7 +21,7 @@
 {
 }
 
-void ShardDirectory::LookUpShardCounts()
+std::set<std::string> ShardDirectory::UnknownPools() const
 {
   std::set<std::string> pools;
   for (const job::PoolSpec& pool : m_context.m_deployment.m_pools) {
@@ -26,93 +30,83 @@
   for (const job::QueueSpec& queue : m_context.m_deployment.m_queues) {
     pools.insert(queue.m_pool);
   }
-  for (const std::string& pool : pools) {
-    if (!m_context.m_shards.Knows(pool) && m_pendingLookUps.insert(pool).second) {
-      ReadShardCount(pool);
-    }
-  }
-}
-
-void ShardDirectory::ReadShardCount(const std::string& aPool)
-{
-  m_context.m_store.Read(
-    { kShardTable, aPool, kSingleRowKey },
-    "",
-    kTimeout,
-    [this, aPool, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
-      if (alive.expired()) {
-        return;
-      }
-      if (!aPage) {
-        RetryLater(aPool);
-      } else if (!aPage.value().m_rows.empty()) {
-        SetShardCount(aPool, aPage.value().m_rows[0].m_value);
-      } else {
-        DeriveShardCount(aPool);
-      }
-    });
+  std::erase_if(pools,
+                [this](const std::string& aPool) { return m_context.m_shards.Knows(aPool); });
+  return pools;
 }
 
-void ShardDirectory::RetryLater(const std::string& aPool)
+void ShardDirectory::FollowUntilComplete()
 {
-  m_pendingLookUps.erase(aPool);
-  m_retryTimer = m_context.m_timers.After(kRetryDelay, [this] { LookUpShardCounts(); });
-}
-
-void ShardDirectory::DeriveShardCount(const std::string& aPool)
-{
-  m_context.m_machineClient.List(
-    kTimeout,
-    [this, aPool, alive = std::weak_ptr<int>(m_alive)](Result<std::vector<job::Machine>> aList) {
-      if (alive.expired()) {
-        return;
-      }
-      if (!aList) {
-        Log(LogCategory::Fleet,
-            LogLevel::Warning,
-            "machine-list-failed",
-            "error",
-            aList.error().Text());
-        RetryLater(aPool);
-        return;
+  if (UnknownPools().empty()) {
+    // Deferred, because the follower must not be destroyed within its own callback.
+    m_stopTimer = m_context.m_timers.After(Micros{ 0 }, [this] {
+      if (UnknownPools().empty()) {
+        m_follower.reset();
       }
-      std::size_t count = 0;
-      for (const job::Machine& machine : aList.value()) {
-        count += machine.m_pool == aPool ? 1 : 0;
-      }
-      WriteShardCount(aPool, job::ShardsFor(count));
     });
+    return;
+  }
+  if (!m_follower) {
+    m_follower = std::make_unique<TableFollower>(
+      m_context,
+      TableFollowerOptions{ kShardTable, false, kFollowWait, Millis{ 0 } },
+      [this](const std::vector<platform::Row>& aRows, bool) { OnRows(aRows); });
+  }
 }
 
-void ShardDirectory::WriteShardCount(const std::string& aPool, std::size_t aShards)
+void ShardDirectory::OnRows(const std::vector<platform::Row>& aRows)
 {
-  const platform::RowId rowId{ kShardTable, aPool, kSingleRowKey };
-  platform::Transaction transaction;
-  transaction.m_preconditions.push_back({ rowId, 0 });
-  transaction.m_writes.push_back({ rowId, std::to_string(aShards) });
-  m_context.m_store.Commit(
-    transaction,
-    kTimeout,
-    [this, aPool, alive = std::weak_ptr<int>(m_alive)](Result<platform::TransactionResult>) {
-      // The first write wins, so the row is read whether or not this one was applied.
-      if (!alive.expired()) {
-        ReadShardCount(aPool);
-      }
-    });
+  bool hasChanged = false;
+  for (const platform::Row& row : aRows) {
+    const std::string& pool = row.m_rowId.m_partition;
+    if (row.m_isDeleted || m_context.m_shards.Knows(pool)) {
+      continue;
+    }
+    std::size_t shards = 0;
+    std::from_chars(row.m_value.data(), row.m_value.data() + row.m_value.size(), shards);
+    if (shards == 0) {
+      Log(LogCategory::Platform, LogLevel::Error, "shards-unreadable", "pool", pool);
+      continue;
+    }
+    m_context.m_shards.Set(pool, shards);
+    Log(LogCategory::Membership, LogLevel::Info, "shards", "pool", pool, "count", shards);
+    hasChanged = true;
+  }
+  if (hasChanged) {
+    FollowUntilComplete();
+    m_onChange();
+  }
 }
 
-void ShardDirectory::SetShardCount(const std::string& aPool, const std::string& aValue)
+void ShardDirectory::WriteMissing(const std::vector<job::Machine>& aMachines)
 {
-  const unsigned long shards = std::strtoul(aValue.c_str(), nullptr, 10);
-  if (shards == 0) {
-    Log(LogCategory::Platform, LogLevel::Error, "shards-unreadable", "pool", aPool);
-    RetryLater(aPool);
+  const std::set<std::string> pools = UnknownPools();
+  if (pools.empty()) {
     return;
   }
-  m_pendingLookUps.erase(aPool);
-  m_context.m_shards.Set(aPool, shards);
-  Log(LogCategory::Membership, LogLevel::Info, "shards", "pool", aPool, "count", shards);
-  m_onChange();
+  std::map<std::string, std::size_t> machinesByPool;
+  for (const job::Machine& machine : aMachines) {
+    ++machinesByPool[machine.m_pool];
+  }
+  for (const std::string& pool : pools) {
+    if (!m_pendingWrites.insert(pool).second) {
+      continue;
+    }
+    const platform::RowId rowId{ kShardTable, pool, kSingleRowKey };
+    platform::Transaction transaction;
+    transaction.m_preconditions.push_back({ rowId, 0 });
+    transaction.m_writes.push_back({ rowId, std::to_string(job::ShardsFor(machinesByPool[pool])) });
+    m_context.m_store.Commit(
+      transaction,
+      kWriteTimeout,
+      [this, pool, alive = std::weak_ptr<int>(m_alive)](Result<platform::TransactionResult>) {
+        // The first write wins. The follower reports it; a write that failed is repeated with the
+        // next list of machines.
+        if (!alive.expired()) {
+          m_pendingWrites.erase(pool);
+        }
+      });
+  }
 }
 
 } // namespace mustardtray::node
--- a/src/node/ShardDirectory.h
+++ b/src/node/ShardDirectory.h
@@ -1,14 +1,16 @@
 #pragma once
 
-/// Looks up the number of shards of each pool in the store. The first node that sees a pool writes
-/// the number, which does not change afterwards.
+/// Knows into how many shards each pool is divided. The holder of the machine orders lists the
+/// machines and writes the numbers, which do not change afterwards; all nodes follow the table.
 
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "node/NodeContext.h"
+#include "node/TableFollower.h"
 
 namespace mustardtray::node {
 
@@ -20,21 +22,21 @@
   ShardDirectory(const ShardDirectory&) = delete;
   ShardDirectory& operator=(const ShardDirectory&) = delete;
 
-  /// Looks up the pools of the configuration whose number of shards is not known yet.
-  void LookUpShardCounts();
+  /// Follows the table until the number of shards of each pool of the configuration is known.
+  void FollowUntilComplete();
+  /// Writes the numbers that are not known yet, from the complete list of machines.
+  void WriteMissing(const std::vector<job::Machine>& aMachines);
 
 private:
-  void ReadShardCount(const std::string& aPool);
-  void RetryLater(const std::string& aPool);
-  void DeriveShardCount(const std::string& aPool);
-  void WriteShardCount(const std::string& aPool, std::size_t aShards);
-  void SetShardCount(const std::string& aPool, const std::string& aValue);
+  std::set<std::string> UnknownPools() const;
+  void OnRows(const std::vector<platform::Row>& aRows);
 
   NodeContext& m_context;
   std::function<void()> m_onChange;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
-  std::set<std::string> m_pendingLookUps;
-  TimerHandle m_retryTimer;
+  std::set<std::string> m_pendingWrites;
+  std::unique_ptr<TableFollower> m_follower;
+  TimerHandle m_stopTimer;
 };
 
 } // namespace mustardtray::node
--- a/src/node/TableFollower.cpp
+++ b/src/node/TableFollower.cpp
@@ -12,7 +12,8 @@
 constexpr Millis kReadTimeout{ 1'000 };
 /// Time beyond the requested wait after which the connection counts as broken.
 constexpr Millis kPollTimeoutMargin{ 600 };
-constexpr Micros kRetryDelay{ 200'000 };
+constexpr Millis kFirstRetryDelay{ 200 };
+constexpr Millis kLongestRetryDelay{ 800 };
 
 } // namespace
 
@@ -22,13 +23,14 @@
   : m_context(aContext)
   , m_options(std::move(aOptions))
   , m_callback(std::move(aCallback))
+  , m_backoff(kFirstRetryDelay, kLongestRetryDelay)
 {
   ReadAll();
 }
 
 TableFollower::~TableFollower() = default;
 
-void TableFollower::RetryLater(const Error& aError)
+void TableFollower::RetryLater(const Error& aError, std::function<void()> aStep)
 {
   if (!m_isStoreUnreachable) {
     m_isStoreUnreachable = true;
@@ -40,13 +42,7 @@
         "error",
         aError.Text());
   }
-  m_nextCallTimer = m_context.m_timers.After(kRetryDelay, [this] {
-    if (m_isUpToDate) {
-      Follow();
-    } else {
-      ReadAll();
-    }
-  });
+  m_nextCallTimer = m_context.m_timers.After(m_backoff.Next(), std::move(aStep));
 }
 
 void TableFollower::ReadAll()
@@ -69,10 +65,15 @@
         return;
       }
       if (!aPage) {
-        RetryLater(aPage.error());
+        RetryLater(aPage.error(), [this] { ReadAll(); });
         return;
       }
       m_version = aPage.value().m_version;
+      if (m_options.m_onlyChanges) {
+        m_isUpToDate = true;
+        Follow();
+        return;
+      }
       m_context.m_store.ListPartitions(m_options.m_table,
                                        "",
                                        kReadTimeout,
@@ -81,7 +82,7 @@
                                            return;
                                          }
                                          if (!aPartitions) {
-                                           RetryLater(aPartitions.error());
+                                           RetryLater(aPartitions.error(), [this] { ReadAll(); });
                                            return;
                                          }
                                          m_partitionsToRead = std::move(aPartitions.value());
@@ -111,12 +112,15 @@
     { m_options.m_table, aPartition, aFrom },
     "",
     kReadTimeout,
-    [this, aPartition, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
+    [this, aPartition, aFrom, alive = std::weak_ptr<int>(m_alive)](
+      Result<platform::RowPage> aPage) {
       if (alive.expired()) {
         return;
       }
       if (!aPage) {
-        RetryLater(aPage.error());
+        // The partitions that have been read are kept: starting over would multiply the calls to a
+        // store that refuses some of them.
+        RetryLater(aPage.error(), [this, aPartition, aFrom] { ReadPartition(aPartition, aFrom); });
         return;
       }
       platform::RowPage& page = aPage.value();
@@ -144,9 +148,10 @@
         return;
       }
       if (!aPage) {
-        RetryLater(aPage.error());
+        RetryLater(aPage.error(), [this] { Follow(); });
         return;
       }
+      m_backoff.Reset();
       if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
         Log(LogCategory::Platform, LogLevel::Info, "store-reachable", "table", m_options.m_table);
--- a/src/node/TableFollower.h
+++ b/src/node/TableFollower.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "mustardtray/process/Backoff.h"
 #include "node/NodeContext.h"
 
 namespace mustardtray::node {
@@ -18,6 +19,9 @@
   bool m_hasSinglePartition = false; ///< All rows are in the partition with the empty name.
   Millis m_wait{ 1'000 };            ///< Longest wait for a change in one poll.
   Millis m_pollInterval{ 0 };        ///< Between polls, to batch the changes of a busy table.
+  /// Reports changes from now on and not the rows that exist already. For tables whose rows are all
+  /// written again within a short time.
+  bool m_onlyChanges = false;
 };
 
 class TableFollower
@@ -39,13 +43,14 @@
   void ReadNextPartition();
   void ReadPartition(const std::string& aPartition, const std::string& aFrom);
   void Follow();
-  void RetryLater(const Error& aError);
+  void RetryLater(const Error& aError, std::function<void()> aStep);
 
   NodeContext& m_context;
   TableFollowerOptions m_options;
   RowsCallback m_callback;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   TimerHandle m_nextCallTimer;
+  Backoff m_backoff;
   std::vector<std::string> m_partitionsToRead;
   std::vector<platform::Row> m_rows;
   std::uint64_t m_version = 0;
