--- a/tests/soak/RowStoreStandin.cpp
+++ b/tests/soak/RowStoreStandin.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMaxHistoryRows = 5'000;
 constexpr int kPreconditionFailed = 412;
 constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
 
 std::uint64_t ParseNumber(const std::optional<std::string>& aText)
 {
@@ -52,9 +53,26 @@
   ServeWaitingFeeds();
 }
 
+bool RowStoreStandin::CountRead()
+{
+  const TimePoint now = MonotonicNow();
+  if (now - m_secondBeganAt >= Millis(1'000)) {
+    m_secondBeganAt = now;
+    m_readsInSecond = 0;
+  }
+  ++m_readsInSecond;
+  const bool isAllowed = m_maxReadsPerSecond == 0 || m_readsInSecond <= m_maxReadsPerSecond;
+  m_refusedReads += isAllowed ? 0 : 1;
+  return isAllowed;
+}
+
 void RowStoreStandin::Handle(const std::shared_ptr<StandinExchange>& aExchange)
 {
   const bool isWrite = aExchange->Request().m_method == "POST";
+  if (!isWrite && !CountRead()) {
+    SendError(*aExchange, kTooManyRequests, "too many reads");
+    return;
+  }
   switch (m_fault) {
     case StoreFault::Busy:
       SendError(*aExchange, 503, "busy");
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -31,6 +31,9 @@
 
   std::uint16_t Port() const { return m_server.Port(); }
   void SetFault(StoreFault aFault) { m_fault = aFault; }
+  /// Reads beyond this number in a second get status 429; 0 sets no limit.
+  void SetMaxReadsPerSecond(std::size_t aReads) { m_maxReadsPerSecond = aReads; }
+  std::size_t RefusedReads() const { return m_refusedReads; }
   /// Discards the history of changes, so that readers of feeds must read all rows again.
   void Compact() { m_history.clear(); }
 
@@ -58,6 +61,8 @@
   };
 
   void Handle(const std::shared_ptr<StandinExchange>& aExchange);
+  /// Counts a read; returns false when it exceeds the limit.
+  bool CountRead();
   void Dispatch(const std::shared_ptr<StandinExchange>& aExchange);
   HttpResponse Commit(const std::string& aBody);
   HttpResponse Read(const HttpRequest& aRequest) const;
@@ -74,6 +79,10 @@
   TimerService& m_timers;
   StandinServer m_server;
   StoreFault m_fault = StoreFault::None;
+  std::size_t m_maxReadsPerSecond = 0;
+  std::size_t m_readsInSecond = 0;
+  std::size_t m_refusedReads = 0;
+  TimePoint m_secondBeganAt{};
   std::map<RowName, Row> m_rows;
   std::deque<Row> m_history;
   std::uint64_t m_version = 0;
