Gateway: an inbox write of unknown outcome is repeated until the caller's deadline

Change: the write, which the store applies once, is repeated with growing random delays while the caller waits. A write that is known not to have taken place is still refused at once.

--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -15,6 +15,13 @@
 constexpr Millis kOwnerConnectTimeout{ 400 };
 constexpr Millis kQueryTimeout{ 500 };
 constexpr Millis kStoreTimeout{ 1'000 };
+constexpr Millis kMinStoreTimeout{ 200 };
+/// Before the caller's deadline, for the way of the response.
+constexpr Millis kAnswerMargin{ 150 };
+constexpr Millis kFirstInboxRetryDelay{ 100 };
+constexpr Millis kLongestInboxRetryDelay{ 400 };
+/// How long a caller that names no deadline is assumed to wait.
+constexpr Millis kDefaultCallerDeadline{ 2'000 };
 constexpr Millis kMinRetryAfter{ 1'000 };
 
 HttpResponse Refusal(int aStatus, Millis aRetryAfter, const std::string& aWhy)
@@ -118,8 +125,10 @@
   record.m_spec = std::move(spec.value());
   record.m_acceptedAt = WallNow();
   const std::string pool = aTarget.m_pool;
+  const TimePoint deadline =
+    LeaseClockNow() + platform::DecodeCallerDeadline(aRequest).value_or(kDefaultCallerDeadline);
   const auto onResult =
-    [this, pool, record, responder = aResponder, alive = std::weak_ptr<int>(m_alive)](
+    [this, pool, record, deadline, responder = aResponder, alive = std::weak_ptr<int>(m_alive)](
       SubmitResult aResult) {
       if (alive.expired()) {
         responder.Send(OutcomeUnknown());
@@ -133,10 +142,10 @@
           responder.Send(Refusal(429, aResult.m_retryAfter, "the queue is full"));
           return;
         case SubmitOutcome::NotOwner:
-          StoreInInbox(pool, record, false, responder);
+          StoreInInbox(pool, record, false, deadline, responder);
           return;
         case SubmitOutcome::Unknown:
-          StoreInInbox(pool, record, true, responder);
+          StoreInInbox(pool, record, true, deadline, responder);
           return;
       }
     };
@@ -181,17 +190,33 @@
 void JobGateway::StoreInInbox(const std::string& aPool,
                               const job::JobRecord& aRecord,
                               bool aMayBeStored,
+                              TimePoint aCallerDeadline,
                               HttpResponder aResponder)
 {
-  platform::Transaction transaction;
+  const auto write = std::make_shared<InboxWrite>(
+    InboxWrite{ aRecord.m_id,
+                {},
+                aCallerDeadline,
+                aMayBeStored,
+                std::move(aResponder),
+                Backoff(kFirstInboxRetryDelay, kLongestInboxRetryDelay),
+                {} });
+  platform::Transaction& transaction = write->m_transaction;
   transaction.m_preconditions.push_back({ { kJobTable, aPool, aRecord.m_id }, 0 });
   transaction.m_preconditions.push_back({ { kInboxTable, aPool, aRecord.m_id }, 0 });
   transaction.m_writes.push_back(
     { { kInboxTable, aPool, aRecord.m_id }, job::EncodeJobRecord(aRecord) });
+  CommitInboxWrite(write);
+}
+
+void JobGateway::CommitInboxWrite(const std::shared_ptr<InboxWrite>& aWrite)
+{
+  const auto left =
+    std::chrono::duration_cast<Millis>(aWrite->m_callerDeadline - LeaseClockNow()) - kAnswerMargin;
   m_context.m_store.Commit(
-    transaction,
-    kStoreTimeout,
-    [id = aRecord.m_id, aMayBeStored, responder = std::move(aResponder)](
+    aWrite->m_transaction,
+    std::clamp(left, kMinStoreTimeout, kStoreTimeout),
+    [this, aWrite, alive = std::weak_ptr<int>(m_alive)](
       Result<platform::TransactionResult> aResult) {
       if (aResult) {
         // The job is stored now, or one of its rows existed already.
@@ -199,25 +224,39 @@
             LogLevel::Info,
             "job-in-inbox",
             "job",
-            id,
+            aWrite->m_job,
             "new",
             aResult.value().m_isApplied);
-        responder.Send(JsonResponse(200, "{}"));
+        aWrite->m_responder.Send(JsonResponse(200, "{}"));
         return;
       }
       const ErrorKind kind = aResult.error().m_kind;
       const bool isNotStored = kind == ErrorKind::Refused || kind == ErrorKind::Unavailable;
+      aWrite->m_mayBeStored = aWrite->m_mayBeStored || !isNotStored;
+      const TimePoint latestRetry = aWrite->m_callerDeadline - kMinStoreTimeout - kAnswerMargin;
+      const Micros delay = aWrite->m_backoff.Next();
+      const bool isRepeated =
+        aWrite->m_mayBeStored && !alive.expired() && LeaseClockNow() + delay < latestRetry;
       Log(LogCategory::Placement,
           LogLevel::Warning,
           "job-not-stored",
           "job",
-          id,
+          aWrite->m_job,
           "certain",
-          isNotStored && !aMayBeStored,
+          !aWrite->m_mayBeStored,
+          "repeated",
+          isRepeated,
           "error",
           aResult.error().Text());
-      responder.Send(isNotStored && !aMayBeStored ? Unavailable("the store is unavailable")
-                                                  : OutcomeUnknown());
+      if (isRepeated) {
+        aWrite->m_retryTimer = m_context.m_timers.After(delay, [this, write = aWrite] {
+          write->m_retryTimer.Cancel(); // Ends the reference of the timer to its owner.
+          CommitInboxWrite(write);
+        });
+        return;
+      }
+      aWrite->m_responder.Send(aWrite->m_mayBeStored ? OutcomeUnknown()
+                                                     : Unavailable("the store is unavailable"));
     });
 }
 
--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "mustardtray/connection/HttpServer.h"
+#include "mustardtray/process/Backoff.h"
 #include "node/Membership.h"
 #include "node/NodeContext.h"
 #include "node/PeerMessages.h"
@@ -42,10 +43,24 @@
   void SubmitToRemoteOwner(const std::string& aPool,
                            const job::JobRecord& aRecord,
                            std::function<void(SubmitResult)> aDone);
+  /// A write of a job to the inbox, which is repeated while it is not known whether it took place.
+  struct InboxWrite
+  {
+    std::string m_job;
+    platform::Transaction m_transaction;
+    TimePoint m_callerDeadline{}; ///< The caller waits for the response until then.
+    bool m_mayBeStored = false;   ///< By an attempt without an answer.
+    HttpResponder m_responder;
+    Backoff m_backoff;
+    TimerHandle m_retryTimer;
+  };
+
   void StoreInInbox(const std::string& aPool,
                     const job::JobRecord& aRecord,
                     bool aMayBeStored,
+                    TimePoint aCallerDeadline,
                     HttpResponder aResponder);
+  void CommitInboxWrite(const std::shared_ptr<InboxWrite>& aWrite);
   void SendJobState(const JobTarget& aTarget, HttpResponder aResponder);
   void SendJobStateFromStore(const JobTarget& aTarget, HttpResponder aResponder);
   void Cancel(const JobTarget& aTarget, HttpResponder aResponder);
