Fleet: units leave machines of a wave once, and full pages of a feed are followed at once

Cause of DRAIN at 297 nodes (start 5.2 s after the minion said that it leaves): 3,006 minions write 2,000 rows a second, and the feed was polled every 350 ms for a page each.

Change: owners know the machines that wait for maintenance and place no lasting units there; such machines stay in the spare pool, and go back there first; short waits while a lasting unit starts; a full page is followed by the next poll at once.

--- a/include/mustardtray/job/Deployment.h
+++ b/include/mustardtray/job/Deployment.h
@@ -3,6 +3,7 @@
 /// The operator's configuration of queues and pools, maintenance waves, and the reported machines.
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,15 @@
   std::string Rack() const { return m_labels.empty() ? std::string{} : m_labels.back(); }
 };
 
+/// Machines of a shard that are to get less work, or none.
+struct MachineRestrictions
+{
+  std::set<std::string> m_cordoned; ///< Get no work.
+  /// Will be cordoned for maintenance soon. Units that last are not placed there if others have
+  /// capacity, since each would have to be moved again.
+  std::set<std::string> m_awaitingMaintenance;
+};
+
 /// Request to put each of the listed machines into maintenance once.
 struct WaveRequest
 {
--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -40,7 +40,7 @@
 
 struct FleetPlan
 {
-  std::map<std::string, std::set<std::string>> m_cordons; ///< Machines to cordon, by shard.
+  std::map<std::string, MachineRestrictions> m_restrictions; ///< By shard.
   std::vector<MachineOrder> m_orders;
   std::vector<std::uint64_t> m_completedWaves;
 };
@@ -102,6 +102,8 @@
   std::string ShardOf(const Machine& aMachine) const;
   void PlanWave(WaveState& aWave, const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
   double PoolUtilization(const std::string& aPool) const;
+  /// Machines of waves that are not completed whose maintenance has not begun.
+  std::set<std::string> FindAwaitingMaintenance() const;
 
   FleetTimes m_times;
   std::map<std::string, Machine> m_machines;
@@ -118,6 +120,7 @@
   };
   std::map<std::string, DoneOrder> m_doneOrders; ///< Latest order of each machine.
   std::map<std::string, TimePoint> m_retryAt;    ///< Next attempt after a failed order.
+  std::set<std::string> m_awaitingMaintenance;   ///< See FindAwaitingMaintenance().
   std::set<std::string> m_maintenanceCandidates; ///< Machines cordoned for maintenance.
   /// A move that waits until no work is left on its machine.
   struct PendingMove
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -14,6 +14,7 @@
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
 #include "mustardtray/job/ArrivalRate.h"
+#include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PoolState.h"
 #include "mustardtray/job/RunTimeCorrection.h"
@@ -99,7 +100,7 @@
   /// Registers a minion to which an earlier owner may have given work: inherited jobs wait until
   /// the minion has answered, or does not answer after its longest lease has expired.
   void AwaitMinion(const std::string& aId, TimePoint aLeaseEnd);
-  void SetCordons(const std::set<std::string>& aMachines, TimePoint aNow);
+  void SetRestrictions(const MachineRestrictions& aRestrictions, TimePoint aNow);
   /// aAskedAt: when the request to the advisor was sent.
   void OnAdvice(const AdviceRequest& aRequest, const Advice& aAdvice, TimePoint aAskedAt);
   void OnAdviceFailed(const AdviceRequest& aRequest, TimePoint aNow);
@@ -224,7 +225,7 @@
   MinionTable m_minions;
   std::map<std::string, TimePoint> m_awaited; ///< Lease ends; see AwaitMinion().
   std::vector<QueuedStep> m_queued;
-  std::set<std::string> m_cordons;
+  MachineRestrictions m_restrictions;
   std::set<Job*> m_activeJobs;    ///< Jobs that have not ended.
   std::set<Job*> m_scheduledJobs; ///< Jobs with occurrences to begin.
   std::set<std::string> m_unsaved;
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -103,8 +103,9 @@
   bool m_isFenced = false;    ///< It has answered this owner and refuses orders of earlier ones.
   bool m_isCordoned = false;  ///< Gets no new work because of planned maintenance or a move.
   TimePoint m_cordonedAt{};   ///< When it was cordoned.
-  bool m_isRecorded = false;  ///< The store has a record that work may be on it.
-  std::map<std::string, Run> m_runs; ///< By UnitId::Text().
+  bool m_isAwaitingMaintenance = false; ///< Will be cordoned soon.
+  bool m_isRecorded = false;            ///< The store has a record that work may be on it.
+  std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
   Resources m_used;
   TimePoint m_lastAnswerAt{};
   TimePoint m_leaseEnd{};               ///< Latest time at which its runs can still hold a lease.
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <tuple>
 
 namespace mustardtray::job {
@@ -132,7 +133,7 @@
     const bool isSpare = spare && machine->m_pool == spare->m_name;
     const std::string from = isSpare ? machine->m_pool : ShardOf(*machine);
     if (!isSpare) {
-      aPlan.m_cordons[from].insert(machine->m_name);
+      aPlan.m_restrictions[from].m_cordoned.insert(machine->m_name);
     }
     if ((isSpare || IsDrained(from, machine->m_name)) && IsOrderAllowed(machine->m_name, aNow)) {
       aPlan.m_orders.push_back({ machine->m_name, aWave.m_request.m_number, {}, from });
@@ -140,6 +141,20 @@
   }
 }
 
+std::set<std::string> FleetPlanner::FindAwaitingMaintenance() const
+{
+  std::set<std::string> machines;
+  for (const auto& [number, wave] : m_waves) {
+    if (!wave.m_isCompleted) {
+      std::copy_if(wave.m_request.m_machines.begin(),
+                   wave.m_request.m_machines.end(),
+                   std::inserter(machines, machines.end()),
+                   [&](const std::string& aName) { return !wave.m_begun.contains(aName); });
+    }
+  }
+  return machines;
+}
+
 bool FleetPlanner::HasActiveOrder(const std::string& aMachine, TimePoint aNow) const
 {
   const auto order = m_doneOrders.find(aMachine);
@@ -219,18 +234,22 @@
 {
   std::vector<std::string> removable;
   const auto report = m_reports.find(aPool);
-  const auto cordons = aPlan.m_cordons.find(aPool);
+  const auto restrictions = aPlan.m_restrictions.find(aPool);
   if (report == m_reports.end()) {
     return removable;
   }
   for (const std::string& name : report->second.m_idle) {
     const auto machine = m_machines.find(name);
-    const bool isTaken = cordons != aPlan.m_cordons.end() && cordons->second.contains(name);
+    const bool isTaken =
+      restrictions != aPlan.m_restrictions.end() && restrictions->second.m_cordoned.contains(name);
     if (machine != m_machines.end() && ShardOf(machine->second) == aPool && !isTaken &&
         IsUsable(machine->second, aNow) && !m_pendingMoves.contains(name)) {
       removable.push_back(name);
     }
   }
+  std::stable_partition(removable.begin(), removable.end(), [&](const std::string& aName) {
+    return m_awaitingMaintenance.contains(aName);
+  });
   return removable;
 }
 
@@ -241,7 +260,7 @@
                              TimePoint aNow)
 {
   m_pendingMoves[aMachine] = { aFrom, aTo, aNow };
-  aPlan.m_cordons[aFrom].insert(aMachine);
+  aPlan.m_restrictions[aFrom].m_cordoned.insert(aMachine);
 }
 
 void FleetPlanner::PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow)
@@ -260,7 +279,7 @@
       pendingMove = m_pendingMoves.erase(pendingMove);
       continue;
     }
-    aPlan.m_cordons[move.m_from].insert(name);
+    aPlan.m_restrictions[move.m_from].m_cordoned.insert(name);
     if (IsDrained(move.m_from, name)) {
       aPlan.m_orders.push_back({ name, 0, ShardMap::PoolOf(move.m_to), move.m_from });
     }
@@ -280,6 +299,10 @@
       spareMachines.push_back(name);
     }
   }
+  // Machines of a wave stay in the spare pool, where nothing has to be drained.
+  std::stable_partition(spareMachines.begin(), spareMachines.end(), [&](const std::string& aName) {
+    return !m_awaitingMaintenance.contains(aName);
+  });
   // The shard that lacks the most machines in proportion comes first.
   std::sort(
     balances.begin(), balances.end(), [](const ShardBalance& aLeft, const ShardBalance& aRight) {
@@ -343,6 +366,12 @@
   if (m_listedAt == TimePoint{}) {
     return plan;
   }
+  m_awaitingMaintenance = FindAwaitingMaintenance();
+  for (const std::string& name : m_awaitingMaintenance) {
+    if (const auto machine = m_machines.find(name); machine != m_machines.end()) {
+      plan.m_restrictions[ShardOf(machine->second)].m_awaitingMaintenance.insert(name);
+    }
+  }
   for (auto& [number, wave] : m_waves) {
     if (!wave.m_isCompleted) {
       PlanWave(wave, aDeployment, plan, aNow);
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -12,6 +12,7 @@
 // Weights of the placement score; 1 is the whole capacity of a minion. The lowest score wins.
 constexpr double kRemoteDataPenalty =
   10.0; ///< Not in the data's rack: the unit takes far_x times as long.
+constexpr double kMaintenancePenalty = 20.0;   ///< The unit would soon have to be moved again.
 constexpr double kRecentFailurePenalty = 50.0; ///< The unit's latest failure was on this minion.
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
@@ -81,6 +82,7 @@
         continue;
       }
       score += step.m_isLongRunning ? kSameStepPenalty * present : 0.0;
+      score += step.m_isLongRunning && minion.m_isAwaitingMaintenance ? kMaintenancePenalty : 0.0;
     }
     if (!step.m_dataRack.empty() && !minion.m_entry.HasLabel(step.m_dataRack)) {
       score += kRemoteDataPenalty;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -33,7 +33,8 @@
   minion.m_entry = aEntry;
   minion.m_entry.m_startedAtMs = startedAtMs;
   minion.m_isRegistered = true;
-  minion.m_isCordoned = m_cordons.contains(aEntry.m_machine);
+  minion.m_isCordoned = m_restrictions.m_cordoned.contains(aEntry.m_machine);
+  minion.m_isAwaitingMaintenance = m_restrictions.m_awaitingMaintenance.contains(aEntry.m_machine);
 }
 
 void PoolScheduler::ResetRestartedMinion(MinionState& aMinion, TimePoint aNow)
@@ -87,12 +88,14 @@
   });
 }
 
-void PoolScheduler::SetCordons(const std::set<std::string>& aMachines, TimePoint aNow)
+void PoolScheduler::SetRestrictions(const MachineRestrictions& aRestrictions, TimePoint aNow)
 {
-  m_cordons = aMachines;
+  m_restrictions = aRestrictions;
   for (auto& [id, minion] : m_minions) {
     const bool wasCordoned = minion.m_isCordoned;
-    minion.m_isCordoned = m_cordons.contains(minion.m_entry.m_machine);
+    const std::string& machine = minion.m_entry.m_machine;
+    minion.m_isCordoned = m_restrictions.m_cordoned.contains(machine);
+    minion.m_isAwaitingMaintenance = m_restrictions.m_awaitingMaintenance.contains(machine);
     if (minion.m_isCordoned && !wasCordoned) {
       minion.m_cordonedAt = aNow;
     }
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -172,7 +172,7 @@
   }
   const job::Deployment& deployment = m_context.m_deployment;
   const job::FleetPlan plan = m_planner.Plan(deployment, m_context.m_shards, LeaseClockNow());
-  m_cordons = plan.m_cordons;
+  m_restrictions = plan.m_restrictions;
   std::vector<std::string> shards;
   for (const job::PoolSpec& pool : deployment.m_pools) {
     if (pool.m_isSpare) {
@@ -204,7 +204,7 @@
   m_syncedAt[aPool] = askedAt;
   m_syncPool(
     aPool,
-    m_cordons[aPool],
+    m_restrictions[aPool],
     [this, aPool, askedAt, alive = std::weak_ptr<int>(m_alive)](Result<FleetReport> aReport) {
       if (alive.expired()) {
         return;
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -18,10 +18,10 @@
 
 namespace mustardtray::node {
 
-/// Sends the cordoned machines to the pool's owner, on this node or another, and passes on the
-/// owner's report.
+/// Sends the restrictions of machines to the pool's owner, on this node or another, and passes on
+/// the owner's report.
 using SyncPoolFunction = std::function<void(const std::string& aPool,
-                                            const std::set<std::string>& aCordons,
+                                            const job::MachineRestrictions& aRestrictions,
                                             std::function<void(Result<FleetReport>)> aDone)>;
 
 /// Called with each complete list of machines.
@@ -71,7 +71,7 @@
   PoolBatchWriter m_batchWriter;
   std::map<std::uint64_t, std::set<std::string>> m_startedMachinesByWave;
   std::vector<job::WaveRequest> m_deferredWaves;
-  std::map<std::string, std::set<std::string>> m_cordons;
+  std::map<std::string, job::MachineRestrictions> m_restrictions;
   std::set<std::string> m_pendingSyncs;
   std::map<std::string, TimePoint> m_syncedAt; ///< When a pool's owner was last asked.
   std::set<std::string> m_pendingOrders;
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -1,5 +1,7 @@
 #include "node/MinionSession.h"
 
+#include <algorithm>
+
 #include "mustardtray/process/Log.h"
 #include "node/PoolOwner.h"
 #include "node/UsedMinion.h"
@@ -17,6 +19,8 @@
 /// How long a busy minion waits for a run to end before it answers.
 constexpr Millis kBusyMinionWait{ 900 };
 constexpr Millis kIdleMinionWait{ 2'000 };
+/// While a unit that lasts is not at work yet: others of its step wait to be moved until it is.
+constexpr Millis kStartingServiceWait{ 250 };
 constexpr Millis kCallTimeoutMargin{ 400 };
 /// Between calls while run ends wait to be saved; these calls only extend the lease.
 constexpr Millis kUnsavedInterval{ 400 };
@@ -24,6 +28,16 @@
 constexpr Millis kBatchInterval{ 15 };
 constexpr Millis kRetryDelay{ 150 };
 
+bool HasStartingService(const job::MinionState& aMinion)
+{
+  return std::any_of(aMinion.m_runs.begin(), aMinion.m_runs.end(), [](const auto& aEntry) {
+    constexpr int kAtWorkPercent = 100;
+    const job::Run& run = aEntry.second;
+    return run.m_isLongRunning && run.m_phase != job::RunPhase::Stopping &&
+           run.m_percent < kAtWorkPercent;
+  });
+}
+
 } // namespace
 
 MinionSession::MinionSession(PoolOwner& aOwner, std::string aMinion)
@@ -85,9 +99,10 @@
   const bool isAcknowledging =
     minion.m_runs.empty() && minion.m_lastAcknowledgedEnd < request.m_acknowledgedEnd;
   const bool canWait = m_clock.IsKnown() && !hasUnsavedEnds && !m_isUnreachable && !isAcknowledging;
-  request.m_wait = !canWait                ? Millis{ 0 }
-                   : minion.m_runs.empty() ? kIdleMinionWait
-                                           : kBusyMinionWait;
+  request.m_wait = !canWait                     ? Millis{ 0 }
+                   : minion.m_runs.empty()      ? kIdleMinionWait
+                   : HasStartingService(minion) ? kStartingServiceWait
+                                                : kBusyMinionWait;
   if (request.m_leaseUntilMs > 0) {
     m_owner.m_scheduler.OnLeaseGranted(m_minion, m_clock.LatestTimeAt(request.m_leaseUntilMs));
   }
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -293,9 +293,9 @@
         m_context,
         aClaim,
         [this](const std::string& aPool,
-               const std::set<std::string>& aCordons,
+               const job::MachineRestrictions& aRestrictions,
                std::function<void(Result<FleetReport>)> aDone) {
-          SyncPool(aPool, aCordons, std::move(aDone));
+          SyncPool(aPool, aRestrictions, std::move(aDone));
         },
         [this](const std::vector<job::Machine>& aMachines) {
           m_shardDirectory->WriteMissing(aMachines);
@@ -333,11 +333,11 @@
   // Peers.
 
   void SyncPool(const std::string& aPool,
-                const std::set<std::string>& aCordons,
+                const job::MachineRestrictions& aRestrictions,
                 std::function<void(Result<FleetReport>)> aDone)
   {
     if (PoolOwner* owner = FindOwner(aPool); owner && owner->IsKeepingPool()) {
-      aDone(owner->ApplyCordons(aCordons));
+      aDone(owner->ApplyRestrictions(aRestrictions));
       return;
     }
     const std::string address = m_membership->OwnerAddress(aPool);
@@ -346,7 +346,7 @@
       return;
     }
     HttpCall call = MakePeerCall(
-      address, kPeerFleetPath, EncodeFleetSyncRequest({ aPool, aCordons }), kPeerCallTimeout);
+      address, kPeerFleetPath, EncodeFleetSyncRequest({ aPool, aRestrictions }), kPeerCallTimeout);
     m_http.Start(std::move(call), [address, done = std::move(aDone)](HttpCallResult aResult) {
       if (!aResult) {
         done(aResult.error().m_error);
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -51,7 +51,7 @@
     return;
   }
   aResponder.Send(
-    JsonResponse(200, EncodeFleetReport(owner->ApplyCordons(query.value().m_cordons))));
+    JsonResponse(200, EncodeFleetReport(owner->ApplyRestrictions(query.value().m_restrictions))));
 }
 
 void PeerHandler::HandleJobQuery(const HttpRequest& aRequest, HttpResponder aResponder)
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -134,14 +134,19 @@
 
 std::string EncodeFleetSyncRequest(const FleetSyncRequest& aRequest)
 {
-  return json{ { "pool", aRequest.m_pool }, { "cordons", aRequest.m_cordons } }.dump();
+  return json{
+    { "pool", aRequest.m_pool },
+    { "cordons", aRequest.m_restrictions.m_cordoned },
+    { "awaiting", aRequest.m_restrictions.m_awaitingMaintenance }
+  }.dump();
 }
 
 Result<FleetSyncRequest> DecodeFleetSyncRequest(const std::string& aText)
 {
   return Parse<FleetSyncRequest>(aText, [](const json& aIn) {
     return FleetSyncRequest{ aIn.at("pool").get<std::string>(),
-                             aIn.at("cordons").get<std::set<std::string>>() };
+                             { aIn.at("cordons").get<std::set<std::string>>(),
+                               aIn.value("awaiting", std::set<std::string>{}) } };
   });
 }
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -50,7 +50,7 @@
 struct FleetSyncRequest
 {
   std::string m_pool;
-  std::set<std::string> m_cordons;
+  job::MachineRestrictions m_restrictions;
 };
 std::string EncodeFleetSyncRequest(const FleetSyncRequest& aRequest);
 Result<FleetSyncRequest> DecodeFleetSyncRequest(const std::string& aText);
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -301,13 +301,13 @@
   }
 }
 
-FleetReport PoolOwner::ApplyCordons(const std::set<std::string>& aCordons)
+FleetReport PoolOwner::ApplyRestrictions(const job::MachineRestrictions& aRestrictions)
 {
-  m_scheduler.SetCordons(aCordons, LeaseClockNow());
+  m_scheduler.SetRestrictions(aRestrictions, LeaseClockNow());
   DecideNow();
   FleetReport report;
   report.m_load = m_scheduler.MeasureLoad(LeaseClockNow());
-  for (const std::string& machine : aCordons) {
+  for (const std::string& machine : aRestrictions.m_cordoned) {
     if (m_scheduler.IsDrained(machine, LeaseClockNow())) {
       report.m_drainedMachines.push_back(machine);
     }
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -67,8 +67,8 @@
   /// Called when a minion of any pool has registered.
   void OnMachineIncarnation(const job::MachineIncarnation& aIncarnation);
   void OnInboxRow(const platform::Row& aRow);
-  /// Cordons exactly these machines and returns the pool's state.
-  FleetReport ApplyCordons(const std::set<std::string>& aCordons);
+  /// Puts these restrictions in the place of earlier ones and returns the pool's state.
+  FleetReport ApplyRestrictions(const job::MachineRestrictions& aRestrictions);
   /// Accepts and starts nothing more. The callback runs when all writes to the store have ended.
   void Drain(std::function<void()> aDone);
 
--- a/src/node/TableFollower.cpp
+++ b/src/node/TableFollower.cpp
@@ -12,6 +12,8 @@
 constexpr Millis kReadTimeout{ 1'000 };
 /// Time beyond the requested wait after which the connection counts as broken.
 constexpr Millis kPollTimeoutMargin{ 600 };
+/// Rows in a page that may not have all changes.
+constexpr std::size_t kFullPageRows = 500;
 constexpr Millis kFirstRetryDelay{ 200 };
 constexpr Millis kLongestRetryDelay{ 800 };
 
@@ -174,7 +176,9 @@
       if (alive.expired()) {
         return;
       }
-      if (m_options.m_pollInterval.count() > 0) {
+      // A table that changes faster than a page holds would be followed with a growing delay.
+      const bool hasMore = page.m_hasMore || page.m_rows.size() >= kFullPageRows;
+      if (m_options.m_pollInterval.count() > 0 && !hasMore) {
         m_nextCallTimer = m_context.m_timers.After(m_options.m_pollInterval, [this] { Follow(); });
       } else {
         Follow();
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -66,8 +66,8 @@
   FleetPlan plan = fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
   CHECK(plan.m_orders.empty());
   std::size_t cordoned = 0;
-  for (const auto& [pool, machines] : plan.m_cordons) {
-    cordoned += machines.size();
+  for (const auto& [pool, restrictions] : plan.m_restrictions) {
+    cordoned += restrictions.m_cordoned.size();
   }
   CHECK(cordoned == 2);
   fixture.ReportDrained("hot", { "hot0", "hot1" });
@@ -82,6 +82,25 @@
   CHECK(plan.m_completedWaves.empty());
 }
 
+TEST_CASE("machines that wait for maintenance stay in the spare pool while others can be moved")
+{
+  FleetFixture fixture;
+  fixture.m_planner.AddWave({ 1, { "spare0", "spare1", "hot0" }, Millis(20'000), 1 }, {});
+  // 90 cores need 6 machines of 16 cores, and the pool has 4.
+  fixture.Report("hot", 90, {});
+  fixture.Report("cold", 0, {});
+  const FleetPlan plan =
+    fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  std::set<std::string> moved;
+  for (const MachineOrder& order : plan.m_orders) {
+    if (order.m_wave == 0) {
+      moved.insert(order.m_machine);
+    }
+  }
+  CHECK(moved == std::set<std::string>{ "spare2", "spare3" });
+  CHECK(plan.m_restrictions.at("hot").m_awaitingMaintenance == std::set<std::string>{ "hot0" });
+}
+
 TEST_CASE("a wave is complete when maintenance of each existing machine has begun")
 {
   FleetFixture fixture;
@@ -113,14 +132,14 @@
   fixture.Report("cold", 0, { "cold0", "cold1", "cold2", "cold3" });
   FleetPlan plan = fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
   CHECK(plan.m_orders.empty());
-  CHECK(plan.m_cordons["cold"].empty());
+  CHECK(plan.m_restrictions["cold"].m_cordoned.empty());
   fixture.m_now += Millis(700);
   fixture.Report("hot", 13, {});
   fixture.Report("cold", 0, { "cold0", "cold1", "cold2", "cold3" });
   fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
   plan = fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
   // One machine always stays.
-  CHECK(plan.m_cordons["cold"].size() == 3);
+  CHECK(plan.m_restrictions["cold"].m_cordoned.size() == 3);
 }
 
 TEST_CASE("a pool without a recent report neither gives nor receives machines")
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -269,18 +269,37 @@
   for (const StartOrder& start : starts) {
     fixture.Report(start.m_minion, { { start.m_unit, start.m_run, "", 100, 0 } }, {});
   }
-  fixture.m_pool.SetCordons({ "machine-a", "machine-b" }, fixture.m_now);
+  fixture.m_pool.SetRestrictions({ { "machine-a", "machine-b" }, {} }, fixture.m_now);
   CHECK(fixture.Decide().m_stops.size() == 1);
   CHECK_FALSE(fixture.m_pool.IsDrained("machine-a", fixture.m_now));
 }
 
 // Regression test, found in crpud-payplan fresh-a664: a new owner reported a machine as drained
 // although its minion had not answered yet.
+TEST_CASE("units that last are not placed on machines that wait for maintenance")
+{
+  // Half of the machines are in a wave; a unit on one of them would have to be moved once more.
+  PoolFixture fixture;
+  for (const std::string id : { "a", "b", "c", "d" }) {
+    fixture.AddMinion(id);
+  }
+  fixture.m_pool.SetRestrictions({ {}, { "machine-a", "machine-b" } }, fixture.m_now);
+  JobRecord job = MakeJob("j", 2);
+  job.m_spec.m_steps[0].m_isLongRunning = true;
+  job.m_spec.m_steps[0].m_maxPerMinion = 1;
+  fixture.m_pool.AddJob(job, fixture.m_now, false);
+  for (const StartOrder& start : fixture.StartAll()) {
+    CHECK((start.m_minion == "c" || start.m_minion == "d"));
+  }
+  fixture.m_pool.AddJob(MakeJob("k", 1, 16'000), fixture.m_now, false);
+  CHECK(fixture.StartAll().size() == 1);
+}
+
 TEST_CASE("a machine is not drained before its minion has answered this owner")
 {
   PoolFixture fixture;
   fixture.m_pool.UpdateMinion(MakeMinion("a"), fixture.m_now);
-  fixture.m_pool.SetCordons({ "machine-a" }, fixture.m_now);
+  fixture.m_pool.SetRestrictions({ { "machine-a" }, {} }, fixture.m_now);
   CHECK_FALSE(fixture.m_pool.IsDrained("machine-a", fixture.m_now));
   fixture.AddMinion("a");
   CHECK(fixture.m_pool.IsDrained("machine-a", fixture.m_now));
--- a/tests/node/ManyNodesTest.cpp
+++ b/tests/node/ManyNodesTest.cpp
@@ -137,7 +137,7 @@
       m_orderController = std::make_unique<FleetOrderController>(
         m_context,
         aClaim,
-        [](const std::string&, const std::set<std::string>&, auto&& aDone) {
+        [](const std::string&, const job::MachineRestrictions&, auto&& aDone) {
           aDone(Error{ ErrorKind::Unavailable, "query pool owner", "", "no owner" });
         },
         [this](const std::vector<job::Machine>& aMachines) {
