Membership: nodes that own nothing renew and poll less often

Change: an idle node renews its row each second, not each half second, and polls each 500 ms; it renews at once when it has claimed a pool.

--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -13,8 +13,13 @@
 /// Three renewals fit into the lease, so that one lost response has no effect.
 constexpr Millis kRenewPeriod{ 500 };
 constexpr double kRenewJitter = 0.1;
+/// A node that owns nothing needs no lease. All nodes read all renewals, so their number grows with
+/// the square of the nodes.
+constexpr Millis kIdleRenewPeriod{ 1'000 };
 /// Batches the renewals of all nodes into one response.
 constexpr Millis kNodePollInterval{ 350 };
+constexpr Millis kIdleNodePollInterval{ 500 };
+constexpr Millis kNodePollWait{ 800 };
 /// Even a slow store answers within this time, so a longer silence means a broken connection.
 constexpr Millis kCallTimeout{ 1'200 };
 constexpr Millis kFirstRetryDelay{ 150 };
@@ -28,7 +33,7 @@
 /// measured from the next poll on.
 constexpr Millis kMaxViewAge{ 1'600 };
 /// All live nodes renew their rows within this time, so that a new view has all of them.
-constexpr Millis kCompleteViewTime{ 1'200 };
+constexpr Millis kCompleteViewTime{ 1'600 };
 
 } // namespace
 
@@ -44,7 +49,7 @@
   Register();
   m_nodeFollower = std::make_unique<TableFollower>(
     aContext,
-    TableFollowerOptions{ kNodeTable, false, Millis{ 1'000 }, kNodePollInterval, true },
+    TableFollowerOptions{ kNodeTable, false, kNodePollWait, kIdleNodePollInterval, true },
     [this](const std::vector<platform::Row>& aRows, bool) { OnNodes(aRows); });
   m_ownerFollower = std::make_unique<TableFollower>(
     aContext,
@@ -53,7 +58,11 @@
       OnOwners(aRows, aIsComplete);
     });
   m_renewTimer = aContext.m_timers.Every(kRenewPeriod, kRenewJitter, [this] {
-    Renew();
+    const bool isIdle = IsIdle();
+    m_nodeFollower->SetPollInterval(isIdle ? kIdleNodePollInterval : kNodePollInterval);
+    if (!isIdle || LeaseClockNow() - m_renewedAt > kIdleRenewPeriod - kRenewPeriod / 2) {
+      Renew();
+    }
     // A node that stops responding changes no row, so ownership is also checked periodically.
     UpdateOwnership();
     ReadSilentOwners();
@@ -97,6 +106,7 @@
   transaction.m_preconditions.push_back({ rowId, aExpected });
   transaction.m_writes.push_back({ rowId, job::EncodeNodeRow(row) });
   const TimePoint sentAt = LeaseClockNow();
+  m_renewedAt = sentAt;
   m_isOwnRowCallPending = true;
   m_context.m_store.Commit(
     transaction,
@@ -167,6 +177,11 @@
   }
 }
 
+bool Membership::IsIdle() const
+{
+  return m_ownedPools.empty() && m_pendingOwnershipWrites.empty();
+}
+
 void Membership::OnEvicted(std::uint64_t aVersion)
 {
   Log(LogCategory::Membership,
@@ -481,6 +496,7 @@
                                claim.m_version = row.m_version;
                                m_view.m_owners[claim.m_pool] = claim;
                                m_ownedPools.insert(claim.m_pool);
+                               Renew();
                                Log(LogCategory::Membership,
                                    LogLevel::Info,
                                    "pool-claimed",
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -56,6 +56,8 @@
   /// Handles a failed write of this node's row: it is not the one that this node wrote last.
   void OnOwnRowChanged(const std::vector<platform::Row>& aRows);
   void Renew();
+  /// Whether this node neither owns a pool nor is about to.
+  bool IsIdle() const;
   /// Called with each answer to a poll of the table.
   void OnNodes(const std::vector<platform::Row>& aRows);
   void ApplyNodeRows(const std::vector<platform::Row>& aRows);
@@ -80,6 +82,7 @@
   bool m_isOwnRowCallPending = false;
   std::uint32_t m_registrationCount = 0;
   TimePoint m_registeredAt{};
+  TimePoint m_renewedAt{}; ///< When the latest write of this node's row was sent.
   TimePoint m_nodesPolledAt{};
   TimePoint m_nodesFollowedSince{};
   TimePoint m_storeAnsweredAt{};
--- a/src/node/TableFollower.h
+++ b/src/node/TableFollower.h
@@ -35,6 +35,8 @@
   TableFollower(const TableFollower&) = delete;
   TableFollower& operator=(const TableFollower&) = delete;
 
+  /// Changes TableFollowerOptions::m_pollInterval, from the next poll on.
+  void SetPollInterval(Millis aInterval) { m_options.m_pollInterval = aInterval; }
   /// Whether all rows have been read and changes are being followed.
   bool IsUpToDate() const { return m_isUpToDate; }
 
