Platform, node: malformed messages do not end a process

Cause: a row of the minions' table with the value '====' threw out of the Base64 decoder and ended the process; a job of 100,000 units a step, or a repeated job without an interval, took the memory of a node. Tests: MessagesTest (padding, size, 20,000 random changes).

--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -78,6 +78,15 @@
   WallTime m_startAt{};            ///< Due time of the first occurrence of a repeated job.
   Millis m_interval{ 0 };          ///< Time between the due times of two occurrences.
 
+  /// Number of units in one occurrence.
+  std::size_t Units() const
+  {
+    std::size_t units = 0;
+    for (const StepSpec& step : m_steps) {
+      units += step.m_count;
+    }
+    return units;
+  }
   std::uint32_t Occurrences() const { return m_repeatCount == 0 ? 1 : m_repeatCount; }
   bool IsLongRunning() const;
 };
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -112,31 +112,41 @@
     aPlan.m_completedWaves.push_back(aWave.m_request.m_number);
     return;
   }
+  const auto isSpare = [&](const Machine* aMachine) {
+    return spare && aMachine->m_pool == spare->m_name;
+  };
   const auto key = [&](const Machine* aMachine) {
-    const bool isSpare = spare && aMachine->m_pool == spare->m_name;
     const bool isChosen = m_maintenanceCandidates.contains(aMachine->m_name);
-    return std::tuple(!isChosen, !isSpare, PoolUtilization(ShardOf(*aMachine)), aMachine->m_name);
+    return std::tuple(!isChosen, PoolUtilization(ShardOf(*aMachine)), aMachine->m_name);
   };
   std::sort(pending.begin(), pending.end(), [&](const Machine* aLeft, const Machine* aRight) {
     return key(aLeft) < key(aRight);
   });
   std::uint32_t freePlaces = aWave.m_request.m_atOnce > down ? aWave.m_request.m_atOnce - down : 0;
+  std::uint32_t machinesToDrain = freePlaces;
+  const auto order = [&](const Machine* aMachine, const std::string& aFrom) {
+    if (freePlaces > 0 && IsOrderAllowed(aMachine->m_name, aNow)) {
+      aPlan.m_orders.push_back({ aMachine->m_name, aWave.m_request.m_number, {}, aFrom });
+      --freePlaces;
+    }
+  };
+  // Machines that are still being drained hold no place, so that spare ones do not wait for them.
   for (const Machine* machine : pending) {
-    if (freePlaces == 0) {
-      break;
+    if (freePlaces > 0 && isSpare(machine) && machine->m_state == MachineState::Up) {
+      m_maintenanceCandidates.insert(machine->m_name);
+      order(machine, machine->m_pool);
     }
-    if (machine->m_state != MachineState::Up) {
+  }
+  for (const Machine* machine : pending) {
+    if (isSpare(machine) || machine->m_state != MachineState::Up || machinesToDrain == 0) {
       continue;
     }
-    --freePlaces;
+    --machinesToDrain;
     m_maintenanceCandidates.insert(machine->m_name);
-    const bool isSpare = spare && machine->m_pool == spare->m_name;
-    const std::string from = isSpare ? machine->m_pool : ShardOf(*machine);
-    if (!isSpare) {
-      aPlan.m_restrictions[from].m_cordoned.insert(machine->m_name);
-    }
-    if ((isSpare || IsDrained(from, machine->m_name)) && IsOrderAllowed(machine->m_name, aNow)) {
-      aPlan.m_orders.push_back({ machine->m_name, aWave.m_request.m_number, {}, from });
+    const std::string shard = ShardOf(*machine);
+    aPlan.m_restrictions[shard].m_cordoned.insert(machine->m_name);
+    if (IsDrained(shard, machine->m_name)) {
+      order(machine, shard);
     }
   }
 }
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -25,6 +25,7 @@
 
 constexpr int kExitSuccess = 0;
 constexpr int kExitFailure = 1;
+constexpr int kMaxUnexpectedErrors = 20;
 /// A node reports that it is not ready when the store has not answered it for this long; other
 /// nodes may still reach the store.
 constexpr Millis kMaxStoreSilence{ 2'500 };
@@ -112,12 +113,27 @@
         peerAddress,
         "incarnation",
         m_context.m_incarnation);
-    m_io.run();
+    const bool hasRun = RunEventLoop();
     Log(LogCategory::Process, LogLevel::Info, "stopped");
-    return kExitSuccess;
+    return hasRun ? kExitSuccess : kExitFailure;
   }
 
 private:
+  /// Returns false when errors were so many that the process has to start anew.
+  bool RunEventLoop()
+  {
+    for (int errors = 0; errors < kMaxUnexpectedErrors; ++errors) {
+      try {
+        m_io.run();
+        return true;
+      } catch (const std::exception& fault) {
+        // The error ends the handler that met it, such as that of one message, and not the process.
+        Log(LogCategory::Process, LogLevel::Error, "unexpected-error", "error", fault.what());
+      }
+    }
+    return false;
+  }
+
   HttpServerOptions MakeListenerOptions(const std::string& aIp, std::uint16_t aPort) const
   {
     // Leaves half of the descriptors for outgoing calls.
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -82,6 +82,26 @@
   CHECK(plan.m_completedWaves.empty());
 }
 
+TEST_CASE("a machine of a wave that returns to the spare pool does not wait for cordoned ones")
+{
+  // Both places of the wave are taken by cordoned machines with long work; one machine of the wave
+  // is returned to the spare pool meanwhile.
+  FleetFixture fixture;
+  fixture.Report("hot", 0, {});
+  fixture.Report("cold", 0, {});
+  fixture.m_planner.AddWave({ 1, { "hot0", "hot1", "hot2" }, Millis(20'000), 2 }, {});
+  CHECK(
+    fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now).m_orders.empty());
+  for (Machine& machine : fixture.m_machines) {
+    machine.m_pool = machine.m_name == "hot2" ? "spare" : machine.m_pool;
+  }
+  fixture.m_planner.SetMachines(fixture.m_machines, fixture.m_now);
+  const FleetPlan plan =
+    fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  REQUIRE(plan.m_orders.size() == 1);
+  CHECK(plan.m_orders[0].m_machine == "hot2");
+}
+
 TEST_CASE("machines that wait for maintenance stay in the spare pool while others can be moved")
 {
   FleetFixture fixture;
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "platform/Base64.h"
 #include "platform/MinionClient.h"
 
 using namespace mustardtray;
@@ -93,3 +94,62 @@
   CHECK(deployment.value().FindQueue("g", "/a/x") == nullptr);
   CHECK(deployment.value().SparePool()->m_name == "s1");
 }
+
+TEST_CASE("Base64 texts with too much padding decode to nothing")
+{
+  for (const std::string text : { "====", "A===", "====AAAA", "=", "AAAA====" }) {
+    CAPTURE(text);
+    CHECK(DecodeBase64(text).size() <= text.size());
+  }
+  CHECK(DecodeBase64("====").empty());
+  CHECK(DecodeBase64(EncodeBase64("ab")) == "ab");
+  CHECK(DecodeBase64(EncodeBase64("a")) == "a");
+}
+
+TEST_CASE("a job whose units would not fit into the memory of a node is invalid")
+{
+  const std::string step = R"({"count":20000,"cpu":1})";
+  CHECK(DecodeJobSpec(R"({"spec":"s","steps":[)" + step + "]}"));
+  CHECK_FALSE(DecodeJobSpec(R"({"spec":"s","steps":[)" + step + "," + step + "]}"));
+}
+
+TEST_CASE("decoders survive messages with random changes")
+{
+  const std::vector<std::string> messages{
+    kEntry,
+    R"({"version":3,"routes":[{"host":"h","prefix":"/p/","service":"s","name":"q","advice":{}}],)"
+    R"("services":[{"name":"s","rejects_overload":true,"spare":false}],"limits":{}})",
+    R"({"wave":1,"machines":["m-1","m-2"],"duration_s":20.5,"max_count":2})",
+    R"({"spec":"s","steps":[{"count":4,"cpu":500,"after":[],"may_miss":1}],"repeat_count":2})",
+    EncodeBase64(kEntry),
+  };
+  constexpr std::uint32_t kSeed = 7;
+  constexpr int kRounds = 20'000;
+  std::minstd_rand random{ kSeed };
+  for (int round = 0; round < kRounds; ++round) {
+    std::string text = messages[random() % messages.size()];
+    for (std::size_t changes = 1 + random() % 4; changes > 0 && !text.empty(); --changes) {
+      const std::size_t at = random() % text.size();
+      switch (random() % 4) {
+        case 0:
+          text[at] = static_cast<char>(random() % 256);
+          break;
+        case 1:
+          text.erase(at, 1 + random() % 8);
+          break;
+        case 2:
+          text.insert(at, std::string(1 + random() % 6, "9[{=\"-"[random() % 6]));
+          break;
+        default:
+          text.resize(at);
+          break;
+      }
+    }
+    CAPTURE(round);
+    CHECK_NOTHROW(DecodeMinionEntry("i-1", text));
+    CHECK_NOTHROW(static_cast<void>(DecodeDeployment(text)));
+    CHECK_NOTHROW(static_cast<void>(DecodeWave(text)));
+    CHECK_NOTHROW(static_cast<void>(DecodeJobSpec(text)));
+    CHECK_NOTHROW(DecodeBase64(text));
+  }
+}
