--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -18,6 +18,7 @@
 {
   WaveRequest m_request;
   std::set<std::string> m_begun; ///< Machines whose maintenance has started.
+  TimePoint m_plannedSince{};    ///< When this planner first planned the wave.
   bool m_isCompleted = false;
 };
 
@@ -101,6 +102,9 @@
   bool IsDrained(const std::string& aShard, const std::string& aMachine) const;
   std::string ShardOf(const Machine& aMachine) const;
   void PlanWave(WaveState& aWave, const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
+  /// Number of spare machines in maintenance at a time that finishes the wave in time. Spare
+  /// machines are the reserve for a sudden load, so no more are taken.
+  std::size_t SpareAtOnce(const WaveState& aWave, std::size_t aPending, TimePoint aNow) const;
   double PoolUtilization(const std::string& aPool) const;
   /// Machines of waves that are not completed whose maintenance has not begun.
   std::set<std::string> FindAwaitingMaintenance() const;
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -24,6 +24,9 @@
 constexpr Millis kSurplusDelay{ 600 };
 /// A move is given up when its machine still has work after this time.
 constexpr Millis kMoveTimeout{ 1'500 };
+/// Share of a wave's duration in which it is planned to end.
+constexpr double kWaveTimeShare = 0.8;
+constexpr Millis kMinWaveTime{ 2'000 };
 
 } // namespace
 
@@ -86,6 +89,19 @@
          static_cast<double>(load.m_capacityCpu);
 }
 
+std::size_t FleetPlanner::SpareAtOnce(const WaveState& aWave,
+                                      std::size_t aPending,
+                                      TimePoint aNow) const
+{
+  const Millis elapsed = std::chrono::duration_cast<Millis>(aNow - aWave.m_plannedSince);
+  const Millis left =
+    std::max(Scaled(aWave.m_request.m_duration, kWaveTimeShare) - elapsed, kMinWaveTime);
+  const Millis each = m_times.m_maintenanceTime + kMachineListDelay;
+  return (aPending * static_cast<std::size_t>(each.count()) +
+          static_cast<std::size_t>(left.count()) - 1) /
+         static_cast<std::size_t>(left.count());
+}
+
 void FleetPlanner::PlanWave(WaveState& aWave,
                             const Deployment& aDeployment,
                             FleetPlan& aPlan,
@@ -94,6 +110,10 @@
   const PoolSpec* spare = aDeployment.SparePool();
   std::vector<const Machine*> pending;
   std::uint32_t down = 0;
+  std::size_t spareDown = 0;
+  if (aWave.m_plannedSince == TimePoint{}) {
+    aWave.m_plannedSince = aNow;
+  }
   for (const std::string& name : aWave.m_request.m_machines) {
     const auto found = m_machines.find(name);
     if (found == m_machines.end()) {
@@ -103,6 +123,7 @@
     if (found->second.m_state == MachineState::Maintenance ||
         (hasStarted && HasActiveOrder(name, aNow))) {
       ++down;
+      spareDown += spare && found->second.m_pool == spare->m_name ? 1 : 0;
     }
     if (!hasStarted) {
       pending.push_back(&found->second);
@@ -130,9 +151,12 @@
       --freePlaces;
     }
   };
+  const std::size_t spareAtOnce = SpareAtOnce(aWave, pending.size(), aNow);
   // Machines that are still being drained hold no place, so that spare ones do not wait for them.
   for (const Machine* machine : pending) {
-    if (freePlaces > 0 && isSpare(machine) && machine->m_state == MachineState::Up) {
+    if (freePlaces > 0 && spareDown < spareAtOnce && isSpare(machine) &&
+        machine->m_state == MachineState::Up) {
+      ++spareDown;
       m_maintenanceCandidates.insert(machine->m_name);
       order(machine, machine->m_pool);
     }
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -82,6 +82,21 @@
   CHECK(plan.m_completedWaves.empty());
 }
 
+TEST_CASE("a wave takes no more spare machines at a time than it needs to end in time")
+{
+  // A turn may begin at any moment, and the spare machines are its reserve.
+  FleetFixture fixture;
+  fixture.Report("hot", 0, {});
+  fixture.Report("cold", 0, {});
+  fixture.m_planner.AddWave({ 1, { "spare0", "spare1", "spare2", "spare3" }, Millis(60'000), 4 },
+                            {});
+  FleetPlan plan = fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  CHECK(plan.m_orders.size() == 1);
+  fixture.m_now += Millis(50'000);
+  plan = fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  CHECK(plan.m_orders.size() == 4);
+}
+
 TEST_CASE("a machine of a wave that returns to the spare pool does not wait for cordoned ones")
 {
   // Both places of the wave are taken by cordoned machines with long work; one machine of the wave
