--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -19,8 +19,6 @@
 constexpr Millis kPlanPeriod{ 200 };
 /// Limits the calls to the owners of shards, so that this node's work does not grow with the fleet.
 constexpr std::size_t kMaxSyncsPerSecond = 200;
-/// Short compared with a move, so that a machine that has arrived soon gets its next order.
-constexpr Millis kMachineListPeriod{ 400 };
 constexpr Millis kCallTimeout{ 1'500 };
 /// No order is sent when less of the lease than this is left.
 constexpr Millis kMinOrderTimeout{ 400 };
@@ -74,7 +72,7 @@
   , m_announcedOrders(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin, kCallTimeout)
 {
   LoadState();
-  m_listTimer = m_context.m_timers.Every(kMachineListPeriod, 0, [this] { ListMachines(); });
+  m_listTimer = m_context.m_timers.Every(kListPeriod, 0, [this] { ListMachines(); });
   ListMachines();
   m_periodicTimer = m_context.m_timers.Every(kPlanPeriod, 0, [this] { Tick(); });
 }
--- a/src/node/MachineListReader.cpp
+++ b/src/node/MachineListReader.cpp
@@ -15,6 +15,7 @@
 constexpr int kMaxFailuresPerPage = 5;
 /// Part of the allowed page reads that this node uses; a former holder may still be reading.
 constexpr double kReadShare = 0.5;
+constexpr double kMicrosPerSecond = 1e6;
 
 } // namespace
 
@@ -33,6 +34,7 @@
   m_isReading = true;
   m_token.clear();
   m_machines.clear();
+  m_pages = 0;
   m_failures = 0;
   m_askedAt = LeaseClockNow();
   ReadPage();
@@ -82,9 +84,12 @@
                     std::make_move_iterator(machines.end()));
   m_token = aPage.value().m_nextToken;
   if (!m_token.empty()) {
-    constexpr double kMicrosPerSecond = 1e6;
+    // A short list is read without pauses: its pages stay within the limit of the list's period.
     const double pagesPerSecond = m_context.m_settings.m_machineReadsPerSecond * kReadShare;
-    ReadPageAfter(Micros(static_cast<Micros::rep>(kMicrosPerSecond / pagesPerSecond)));
+    const double pagesPerList = pagesPerSecond * static_cast<double>(kListPeriod.count()) / 1'000.0;
+    const bool isSpaced = static_cast<double>(++m_pages) >= pagesPerList;
+    ReadPageAfter(
+      Micros(isSpaced ? static_cast<Micros::rep>(kMicrosPerSecond / pagesPerSecond) : 0));
     return;
   }
   m_isReading = false;
--- a/src/node/MachineListReader.h
+++ b/src/node/MachineListReader.h
@@ -13,6 +13,10 @@
 
 namespace mustardtray::node {
 
+/// Shortest time between the beginnings of two lists. It is short compared with a move, so that a
+/// machine that has arrived soon gets its next order.
+inline constexpr Millis kListPeriod{ 400 };
+
 class MachineListReader
 {
 public:
@@ -39,6 +43,7 @@
   std::string m_token; ///< Of the page that is read next.
   std::vector<job::Machine> m_machines;
   TimePoint m_askedAt{};
+  int m_pages = 0;    ///< Pages read of this list.
   int m_failures = 0; ///< Failed calls since the latest page.
   bool m_isReading = false;
 };
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -388,6 +388,7 @@
     return;
   }
   if (m_nodesFollowedSince == TimePoint{} || now - m_nodesFollowedSince < kCompleteViewTime) {
+    ReclaimOwnPools();
     return;
   }
   if (m_view.m_owners.empty() && now - m_registeredAt < kFirstClaimDelay) {
@@ -417,6 +418,20 @@
   }
 }
 
+void Membership::ReclaimOwnPools()
+{
+  std::vector<std::string> pools;
+  for (const auto& [pool, owner] : m_view.m_owners) {
+    if (owner.m_node == m_view.m_self && !owner.m_isReleased && !m_view.m_selfIsLeaving &&
+        !m_ownedPools.contains(pool) && !m_pendingOwnershipWrites.contains(pool)) {
+      pools.push_back(pool);
+    }
+  }
+  for (const std::string& pool : pools) {
+    ClaimPool(pool);
+  }
+}
+
 void Membership::EvictNode(const std::string& aNode)
 {
   if (!m_pendingOwnershipWrites.insert("evict " + aNode).second) {
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -65,6 +65,9 @@
   void ReadSilentOwners();
   void OnOwners(const std::vector<platform::Row>& aRows, bool aIsComplete);
   void UpdateOwnership();
+  /// Claims the pools that this node's former process owned; that process has ended, so the other
+  /// nodes need not be known for it.
+  void ReclaimOwnPools();
   void EvictNode(const std::string& aNode);
   void ClaimPool(const std::string& aPool);
   void OnEvicted(std::uint64_t aVersion);
