--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <tuple>
 
 namespace mustardtray::job {
@@ -179,11 +178,10 @@
 {
   std::set<std::string> machines;
   for (const auto& [number, wave] : m_waves) {
-    if (!wave.m_isCompleted) {
-      std::copy_if(wave.m_request.m_machines.begin(),
-                   wave.m_request.m_machines.end(),
-                   std::inserter(machines, machines.end()),
-                   [&](const std::string& aName) { return !wave.m_begun.contains(aName); });
+    for (const std::string& name : wave.m_request.m_machines) {
+      if (!wave.m_isCompleted && !wave.m_begun.contains(name)) {
+        machines.insert(name);
+      }
     }
   }
   return machines;
