Membership: a failed eviction brings the current row of the node

The node chosen for its pools then failed to evict it again and again, and the others waited for it. Change: the row that the store returns with the failure is taken into the view.

--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -455,6 +455,11 @@
                              if (aResult && aResult.value().m_isApplied) {
                                m_view.m_nodes[aNode].m_isEvicted = true;
                                UpdateOwnership();
+                             } else if (aResult) {
+                               // The feed may have lost changes to the row, such as an eviction by
+                               // another node, which is not written again.
+                               ApplyNodeRows(aResult.value().m_conflictingRows);
+                               RequestDecision();
                              }
                            });
 }
