--- a/include/mustardtray/job/Deployment.h
+++ b/include/mustardtray/job/Deployment.h
@@ -66,8 +66,8 @@
 struct MachineRestrictions
 {
   std::set<std::string> m_cordoned; ///< Get no work.
-  /// Will be cordoned for maintenance soon. Units that last are not placed there if others have
-  /// capacity, since each would have to be moved again.
+  /// Will be cordoned for maintenance soon. Long-running units are not placed there if other
+  /// machines have capacity, since each would have to be moved again.
   std::set<std::string> m_awaitingMaintenance;
 };
 
--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -70,6 +70,10 @@
   }
 };
 
+/// Limits the memory that one job takes in a node: units of a job, and units of a repeated job
+/// whose occurrences have begun.
+inline constexpr std::size_t kMaxUnitsPerJob = 20'000;
+
 struct JobSpec
 {
   std::string m_payload; ///< Passed to the minion unparsed.
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -98,7 +98,7 @@
   /// Called for the current incarnation of a machine: minions of earlier ones run nothing any more.
   void OnMachineIncarnation(const MachineIncarnation& aLatest, TimePoint aNow);
   /// Registers a minion to which an earlier owner may have given work: inherited jobs wait until
-  /// the minion has answered, or does not answer after its longest lease has expired.
+  /// the minion has answered, or a call that was sent after its longest lease has failed.
   void AwaitMinion(const std::string& aId, TimePoint aLeaseEnd);
   void SetRestrictions(const MachineRestrictions& aRestrictions, TimePoint aNow);
   /// aAskedAt: when the request to the advisor was sent.
@@ -178,8 +178,9 @@
   void MarkUnsaved(Job& aJob);
   Unit* FindUnit(const UnitId& aId, Job** aJob);
   void ExpireLeases(TimePoint aNow);
-  /// Whether the minion's leases have expired and it did not answer a call that was sent later.
-  bool IsGivenUp(const MinionState& aMinion, TimePoint aNow) const;
+  /// Whether the minion's runs count as lost: their leases have expired, and the minion did not
+  /// answer a call that was sent later.
+  bool IsLost(const MinionState& aMinion, TimePoint aNow) const;
   void PlaceQueued(TimePoint aNow);
   bool PlaceUnits(QueuedStep& aQueued, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -23,7 +23,7 @@
 
 constexpr long kMaxIdleConnections = 1024;
 constexpr std::size_t kMaxPooledHandles = 256;
-/// A timer that fires later than this shows that the thread was held up.
+/// A timer that fires later than this shows that the thread was blocked.
 constexpr Millis kMaxTimerDelay{ 20 };
 /// Rounds of the event loop in which pending responses are read before late calls time out.
 constexpr int kRoundsBeforeLateTimeout = 8;
@@ -319,8 +319,8 @@
     });
   }
 
-  /// libcurl's own timeout is not used: it also ends calls whose response waits to be read, which
-  /// happens to all calls at once after the thread was held up.
+  /// libcurl's own timeout is not used: after the thread was blocked, it would end all calls at
+  /// once, also those whose response can be read.
   void ArmDeadlineTimer()
   {
     m_deadlineTimer.expires_at(m_deadlines.begin()->first);
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -25,6 +25,7 @@
 constexpr Millis kMoveTimeout{ 1'500 };
 /// Share of a wave's duration in which it is planned to end.
 constexpr double kWaveTimeShare = 0.8;
+/// Assumed for a wave that is already late.
 constexpr Millis kMinWaveTime{ 2'000 };
 
 } // namespace
@@ -151,7 +152,7 @@
     }
   };
   const std::size_t spareAtOnce = SpareAtOnce(aWave, pending.size(), aNow);
-  // Machines that are still being drained hold no place, so that spare ones do not wait for them.
+  // Machines that are still being drained do not count as down, so that spare ones need not wait.
   for (const Machine* machine : pending) {
     if (freePlaces > 0 && spareDown < spareAtOnce && isSpare(machine) &&
         machine->m_state == MachineState::Up) {
@@ -331,7 +332,7 @@
       spareMachines.push_back(name);
     }
   }
-  // Machines of a wave stay in the spare pool, where nothing has to be drained.
+  // Machines that wait for maintenance are moved last: in the spare pool they need no draining.
   std::stable_partition(spareMachines.begin(), spareMachines.end(), [&](const std::string& aName) {
     return !m_awaitingMaintenance.contains(aName);
   });
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -13,9 +13,6 @@
 
 /// Time in which the backlog should be done: about the objective of a short job.
 constexpr Millis kBacklogHorizon{ 1'500 };
-/// Units of a repeated job whose occurrences have begun; further occurrences wait. Limits the
-/// memory that a job with a short interval takes.
-constexpr std::size_t kMaxOpenUnits = 20'000;
 
 /// Returns the estimated work of some units of a step in core-milliseconds, from reserved CPU.
 double CoreMillis(const StepSpec& aSpec, std::uint32_t aUnits)
@@ -312,8 +309,8 @@
       return;
     }
     if (!aJob.m_occurrences.empty() &&
-        (aJob.m_occurrences.size() + 1) * spec.Units() > kMaxOpenUnits) {
-      return;
+        (aJob.m_occurrences.size() + 1) * spec.Units() > kMaxUnitsPerJob) {
+      return; // Further occurrences begin when earlier ones have ended.
     }
     aJob.m_occurrences.emplace(number, MakeOccurrence(spec, aNow));
     ++aJob.m_nextOccurrence;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -84,7 +84,7 @@
 {
   return std::any_of(m_awaited.begin(), m_awaited.end(), [&](const auto& aEntry) {
     const auto minion = m_minions.find(aEntry.first);
-    return aNow < aEntry.second || (minion != m_minions.end() && !IsGivenUp(minion->second, aNow));
+    return aNow < aEntry.second || (minion != m_minions.end() && !IsLost(minion->second, aNow));
   });
 }
 
@@ -174,8 +174,8 @@
       minion.m_isFenced = false;
       break;
     case OrderResult::Outdated:
-      // The order may have reached the minion twice: the first time it may have been carried out,
-      // and the run may have ended. The next report shows its end.
+      // The HTTP client may have sent the order twice, so the first copy may have been carried out.
+      // The next report shows whether the run has ended.
       run.m_phase = RunPhase::Stopping;
       run.m_isStopConfirmed = true;
       run.m_confirmedAt = aNow;
@@ -495,7 +495,7 @@
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
-    if (IsGivenUp(minion, aNow)) {
+    if (IsLost(minion, aNow)) {
       DropAllRuns(minion, aNow);
       m_awaited.erase(entry->first);
     }
@@ -509,10 +509,10 @@
   }
 }
 
-bool PoolScheduler::IsGivenUp(const MinionState& aMinion, TimePoint aNow) const
+bool PoolScheduler::IsLost(const MinionState& aMinion, TimePoint aNow) const
 {
-  // Expired leases are not enough: if this node was late, an answer that lists the ends of the runs
-  // may still wait to be read.
+  // Expired leases are not enough: when this node's thread was blocked, an answer that lists the
+  // ends of the runs may not have been read yet.
   return aNow > aMinion.m_leaseEnd + kLeaseExpiryMargin &&
          aMinion.m_failedCallSentAt > aMinion.m_leaseEnd;
 }
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -19,8 +19,8 @@
 /// How long a busy minion waits for a run to end before it answers.
 constexpr Millis kBusyMinionWait{ 900 };
 constexpr Millis kIdleMinionWait{ 2'000 };
-/// While a unit that lasts is not at work yet: others of its step wait to be moved until it is.
-constexpr Millis kStartingServiceWait{ 250 };
+/// While a long-running unit starts: others of its step can only be moved once it is at work.
+constexpr Millis kStartingUnitWait{ 250 };
 constexpr Millis kCallTimeoutMargin{ 400 };
 /// Between calls while run ends wait to be saved; these calls only extend the lease.
 constexpr Millis kUnsavedInterval{ 400 };
@@ -28,7 +28,7 @@
 constexpr Millis kBatchInterval{ 15 };
 constexpr Millis kRetryDelay{ 150 };
 
-bool HasStartingService(const job::MinionState& aMinion)
+bool HasStartingLongRunningUnit(const job::MinionState& aMinion)
 {
   return std::any_of(aMinion.m_runs.begin(), aMinion.m_runs.end(), [](const auto& aEntry) {
     constexpr int kAtWorkPercent = 100;
@@ -99,10 +99,10 @@
   const bool isAcknowledging =
     minion.m_runs.empty() && minion.m_lastAcknowledgedEnd < request.m_acknowledgedEnd;
   const bool canWait = m_clock.IsKnown() && !hasUnsavedEnds && !m_isUnreachable && !isAcknowledging;
-  request.m_wait = !canWait                     ? Millis{ 0 }
-                   : minion.m_runs.empty()      ? kIdleMinionWait
-                   : HasStartingService(minion) ? kStartingServiceWait
-                                                : kBusyMinionWait;
+  request.m_wait = !canWait                             ? Millis{ 0 }
+                   : minion.m_runs.empty()              ? kIdleMinionWait
+                   : HasStartingLongRunningUnit(minion) ? kStartingUnitWait
+                                                        : kBusyMinionWait;
   if (request.m_leaseUntilMs > 0) {
     m_owner.m_scheduler.OnLeaseGranted(m_minion, m_clock.LatestTimeAt(request.m_leaseUntilMs));
   }
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -84,7 +84,7 @@
 
 TEST_CASE("a wave takes no more spare machines at a time than it needs to end in time")
 {
-  // A turn may begin at any moment, and the spare machines are its reserve.
+  // The spare machines are the reserve for a burst.
   FleetFixture fixture;
   fixture.Report("hot", 0, {});
   fixture.Report("cold", 0, {});
