Node, process: tests of this landing's guards; large files split by purpose

Change: in-process cases of src/node against the store's stand-in (which can close connections, limit pages and lose a change); Membership's claims, the scheduler's minions, the HTTP client's transfers and the event loop in files of their own, without a change of behaviour.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -8,14 +8,12 @@
 #include <utility>
 #include <vector>
 
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
-#include <fmt/format.h>
+
+#include "connection/HttpTransfer.h"
 
 namespace mustardtray {
 
@@ -34,96 +32,6 @@
   (void)sInitialized;
 }
 
-struct HeaderListDeleter
-{
-  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
-};
-using HeaderList = std::unique_ptr<curl_slist, HeaderListDeleter>;
-
-HeaderList MakeHeaderList(const HttpHeaders& aHeaders)
-{
-  curl_slist* list = curl_slist_append(nullptr, "Expect:");
-  for (const HttpHeader& header : aHeaders) {
-    const std::string line = header.m_value.empty()
-                               ? header.m_name + ";"
-                               : fmt::format("{}: {}", header.m_name, header.m_value);
-    list = curl_slist_append(list, line.c_str());
-  }
-  return HeaderList(list);
-}
-
-/// The state of one call in progress.
-struct Transfer
-{
-  HttpClient::CallId m_id = 0;
-  HttpCall m_call;
-  HttpCallback m_callback;
-  HttpResponse m_response;
-  HeaderList m_headers;
-  CURL* m_easy = nullptr;
-  std::chrono::steady_clock::time_point m_deadline{};
-  bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
-  bool m_isTooLarge = false;
-};
-
-std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
-{
-  auto* transfer = static_cast<Transfer*>(aTransfer);
-  const std::size_t bytes = aSize * aCount;
-  if (transfer->m_response.m_body.size() + bytes > transfer->m_call.m_maxResponseBytes) {
-    transfer->m_isTooLarge = true;
-    return 0;
-  }
-  transfer->m_response.m_body.append(aData, bytes);
-  return bytes;
-}
-
-std::string_view TrimWhitespace(std::string_view aText)
-{
-  const std::size_t first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return aText.substr(first, aText.find_last_not_of(" \t\r\n") - first + 1);
-}
-
-std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
-{
-  auto* transfer = static_cast<Transfer*>(aTransfer);
-  const std::string_view line(aData, aSize * aCount);
-  if (line.starts_with("HTTP/")) {
-    transfer->m_response.m_headers.clear();
-    transfer->m_hasDeclaredLength = false;
-    return line.size();
-  }
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) {
-    return line.size();
-  }
-  HttpHeader header{ std::string(line.substr(0, colon)),
-                     std::string(TrimWhitespace(line.substr(colon + 1))) };
-  transfer->m_hasDeclaredLength = transfer->m_hasDeclaredLength ||
-                                  EqualsIgnoringCase(header.m_name, "Content-Length") ||
-                                  EqualsIgnoringCase(header.m_name, "Transfer-Encoding");
-  transfer->m_response.m_headers.push_back(std::move(header));
-  return line.size();
-}
-
-/// Closes with a reset. A plain close lets the kernel deliver unsent data long after the call was
-/// aborted: an order that was delayed by a network partition must not arrive when it heals.
-int CloseWithReset(void*, curl_socket_t aSocket)
-{
-  const linger reset{ 1, 0 };
-  setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-  return close(aSocket);
-}
-
-bool MustHaveNoBody(const Transfer& aTransfer)
-{
-  const int status = aTransfer.m_response.m_status;
-  return aTransfer.m_call.m_method == "HEAD" || status == 204 || status == 304 || status < 200;
-}
-
 } // namespace
 
 class HttpClient::Implementation : public std::enable_shared_from_this<HttpClient::Implementation>
--- /dev/null
+++ b/src/connection/HttpTransfer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// One call of the HTTP client in progress, and libcurl's callbacks for it.
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+#include <curl/curl.h>
+
+#include "mustardtray/connection/HttpClient.h"
+
+namespace mustardtray {
+
+struct HeaderListDeleter
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+using HeaderList = std::unique_ptr<curl_slist, HeaderListDeleter>;
+
+HeaderList MakeHeaderList(const HttpHeaders& aHeaders);
+
+/// The state of one call in progress.
+struct Transfer
+{
+  HttpClient::CallId m_id = 0;
+  HttpCall m_call;
+  HttpCallback m_callback;
+  HttpResponse m_response;
+  HeaderList m_headers;
+  CURL* m_easy = nullptr;
+  std::chrono::steady_clock::time_point m_deadline{};
+  bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
+  bool m_isTooLarge = false;
+};
+
+/// libcurl's callback for a part of the response's body. aTransfer is the Transfer.
+std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
+/// libcurl's callback for a line of the response's header. aTransfer is the Transfer.
+std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
+/// Closes with a reset. A plain close lets the kernel deliver unsent data long after the call was
+/// aborted: an order that was delayed by a network partition must not arrive when it heals.
+int CloseWithReset(void*, curl_socket_t aSocket);
+bool MustHaveNoBody(const Transfer& aTransfer);
+
+} // namespace mustardtray
--- /dev/null
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -0,0 +1,159 @@
+#include "mustardtray/job/PoolScheduler.h"
+
+#include <algorithm>
+
+/// Minions in the scheduler: registration, restrictions, leases and the loss of their runs.
+
+namespace mustardtray::job {
+
+namespace {
+
+/// Time after a takeover until a machine without a minion is assumed to have none.
+constexpr Millis kMinionDiscoveryTime{ 3'000 };
+/// Margin on the expiry of leases, for timers that fire late.
+constexpr Millis kLeaseExpiryMargin{ 100 };
+
+} // namespace
+
+void PoolScheduler::UpdateMinion(const MinionEntry& aEntry, TimePoint aNow)
+{
+  MinionState& minion = m_minions[aEntry.m_id];
+  const bool hasRestarted =
+    minion.m_entry.m_startedAtMs != 0 && aEntry.m_startedAtMs > minion.m_entry.m_startedAtMs;
+  if (hasRestarted) {
+    ResetRestartedMinion(minion, aNow);
+  }
+  const std::int64_t startedAtMs = std::max(minion.m_entry.m_startedAtMs, aEntry.m_startedAtMs);
+  minion.m_entry = aEntry;
+  minion.m_entry.m_startedAtMs = startedAtMs;
+  minion.m_isRegistered = true;
+  minion.m_isCordoned = m_restrictions.m_cordoned.contains(aEntry.m_machine);
+  minion.m_isAwaitingMaintenance = m_restrictions.m_awaitingMaintenance.contains(aEntry.m_machine);
+}
+
+void PoolScheduler::ResetRestartedMinion(MinionState& aMinion, TimePoint aNow)
+{
+  DropAllRuns(aMinion, aNow);
+  m_advice.ForgetMinion(aMinion.m_entry.m_id);
+  aMinion.m_lastProcessedEnd = 0;
+  aMinion.m_lastAcknowledgedEnd = 0;
+  aMinion.m_consecutiveFailures = 0;
+  aMinion.m_isFenced = false;
+}
+
+void PoolScheduler::RemoveMinion(const std::string& aId, TimePoint aNow)
+{
+  const auto found = m_minions.find(aId);
+  if (found == m_minions.end()) {
+    return;
+  }
+  found->second.m_isRegistered = false;
+  if (found->second.m_runs.empty() && aNow > found->second.m_leaseEnd && !m_awaited.contains(aId)) {
+    m_minions.erase(found);
+  }
+}
+
+void PoolScheduler::OnMachineIncarnation(const MachineIncarnation& aLatest, TimePoint aNow)
+{
+  for (auto& [id, minion] : m_minions) {
+    const MinionEntry& entry = minion.m_entry;
+    const bool isReplaced = id != aLatest.m_minion && entry.m_machine == aLatest.m_machine &&
+                            !entry.m_machine.empty() && entry.m_startedAtMs != 0 &&
+                            entry.m_startedAtMs < aLatest.m_startedAtMs;
+    if (isReplaced) {
+      DropAllRuns(minion, aNow);
+      m_awaited.erase(id);
+      minion.m_isRegistered = false;
+      minion.m_leaseEnd = {};
+    }
+  }
+}
+
+void PoolScheduler::AwaitMinion(const std::string& aId, TimePoint aLeaseEnd)
+{
+  m_awaited[aId] = aLeaseEnd;
+}
+
+bool PoolScheduler::IsRecovering(TimePoint aNow) const
+{
+  return std::any_of(m_awaited.begin(), m_awaited.end(), [&](const auto& aEntry) {
+    const auto minion = m_minions.find(aEntry.first);
+    return aNow < aEntry.second || (minion != m_minions.end() && !IsLost(minion->second, aNow));
+  });
+}
+
+void PoolScheduler::SetRestrictions(const MachineRestrictions& aRestrictions, TimePoint aNow)
+{
+  m_restrictions = aRestrictions;
+  for (auto& [id, minion] : m_minions) {
+    const bool wasCordoned = minion.m_isCordoned;
+    const std::string& machine = minion.m_entry.m_machine;
+    minion.m_isCordoned = m_restrictions.m_cordoned.contains(machine);
+    minion.m_isAwaitingMaintenance = m_restrictions.m_awaitingMaintenance.contains(machine);
+    if (minion.m_isCordoned && !wasCordoned) {
+      minion.m_cordonedAt = aNow;
+    }
+  }
+}
+
+bool PoolScheduler::IsDrained(const std::string& aMachine, TimePoint aNow) const
+{
+  bool isFound = false;
+  for (const auto& [id, minion] : m_minions) {
+    if (minion.m_entry.m_machine != aMachine) {
+      continue;
+    }
+    // Unknown runs and unacknowledged ends would be lost with this incarnation of the minion.
+    if (!minion.m_isCordoned || !minion.m_isFenced || !minion.m_runs.empty() ||
+        minion.m_lastAcknowledgedEnd < minion.m_lastProcessedEnd) {
+      return false;
+    }
+    isFound = true;
+  }
+  return isFound || aNow - m_beganAt > kMinionDiscoveryTime;
+}
+
+void PoolScheduler::OnLeaseGranted(const std::string& aMinion, TimePoint aLeaseEnd)
+{
+  const auto found = m_minions.find(aMinion);
+  if (found != m_minions.end()) {
+    found->second.m_leaseEnd = std::max(found->second.m_leaseEnd, aLeaseEnd);
+  }
+}
+
+void PoolScheduler::OnLeaseExtensionFailed(const std::string& aMinion, TimePoint aAskedAt)
+{
+  const auto found = m_minions.find(aMinion);
+  if (found != m_minions.end()) {
+    ++found->second.m_missedCalls;
+    found->second.m_failedCallSentAt = aAskedAt;
+  }
+}
+
+void PoolScheduler::ExpireLeases(TimePoint aNow)
+{
+  for (auto entry = m_minions.begin(); entry != m_minions.end();) {
+    MinionState& minion = entry->second;
+    if (IsLost(minion, aNow)) {
+      DropAllRuns(minion, aNow);
+      m_awaited.erase(entry->first);
+    }
+    const bool isUnused = minion.m_runs.empty() && !m_awaited.contains(entry->first) &&
+                          aNow > minion.m_leaseEnd + kLeaseExpiryMargin;
+    if (isUnused && !minion.m_isRegistered) {
+      entry = m_minions.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+bool PoolScheduler::IsLost(const MinionState& aMinion, TimePoint aNow) const
+{
+  // Expired leases are not enough: when this node's thread was blocked, an answer that lists the
+  // ends of the runs may not have been read yet.
+  return aNow > aMinion.m_leaseEnd + kLeaseExpiryMargin &&
+         aMinion.m_failedCallSentAt > aMinion.m_leaseEnd;
+}
+
+} // namespace mustardtray::job
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -51,6 +51,12 @@
   void ForgetOwnership(const std::string& aPool);
 
 private:
+  /// Even a slow store answers within this time, so a longer silence means a broken connection.
+  static constexpr Millis kCallTimeout{ 1'200 };
+  /// When polls are further apart than this, the view is stale, and the silence of other nodes is
+  /// measured from the next poll on.
+  static constexpr Millis kMaxViewAge{ 1'600 };
+
   void Register();
   void WriteOwnRow(std::uint64_t aExpected);
   /// Handles a failed write of this node's row: it is not the one that this node wrote last.
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "mustardtray/connection/HttpServer.h"
+#include "mustardtray/process/EventLoop.h"
 #include "mustardtray/process/Log.h"
 #include "node/FleetOrderController.h"
 #include "node/JobGateway.h"
@@ -113,27 +114,12 @@
         peerAddress,
         "incarnation",
         m_context.m_incarnation);
-    const bool hasRun = RunEventLoop();
+    const bool hasRun = RunEventLoop(m_io, kMaxUnexpectedErrors);
     Log(LogCategory::Process, LogLevel::Info, "stopped");
     return hasRun ? kExitSuccess : kExitFailure;
   }
 
 private:
-  /// Returns false when errors were so many that the process has to start anew.
-  bool RunEventLoop()
-  {
-    for (int errors = 0; errors < kMaxUnexpectedErrors; ++errors) {
-      try {
-        m_io.run();
-        return true;
-      } catch (const std::exception& fault) {
-        // The error ends the handler that met it, such as that of one message, and not the process.
-        Log(LogCategory::Process, LogLevel::Error, "unexpected-error", "error", fault.what());
-      }
-    }
-    return false;
-  }
-
   HttpServerOptions MakeListenerOptions(const std::string& aIp, std::uint16_t aPort) const
   {
     // Leaves half of the descriptors for outgoing calls.
--- /dev/null
+++ b/tests/node/JobGatewayTest.cpp
@@ -0,0 +1,102 @@
+#include "node/JobGateway.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "tests/node/NodeFixture.h"
+#include "tests/soak/RowStoreStandin.h"
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+namespace {
+
+class RecordingSink : public HttpResponder::Sink
+{
+public:
+  void Send(HttpResponse aResponse) override { m_responses.push_back(std::move(aResponse)); }
+  std::vector<HttpResponse> m_responses;
+};
+
+/// The gateway of a node whose pool has no owner yet, so that jobs go to the inbox.
+struct GatewayFixture
+{
+  GatewayFixture()
+    : m_store(m_io, m_timers)
+    , m_node(m_io, m_timers, MakeSettings(m_store.Port()))
+    , m_membership(m_node.m_context, "127.0.0.1:1", { [](const job::OwnerRow&) {}, {}, [] {} })
+    , m_gateway(m_node.m_context, m_membership, [](const std::string&) { return nullptr; })
+  {
+    job::QueueSpec queue;
+    queue.m_host = "jobs";
+    queue.m_prefix = "/q/";
+    queue.m_pool = "pool";
+    m_node.m_context.m_deployment.m_queues.push_back(queue);
+    m_node.m_context.m_shards.Set("pool", 1);
+  }
+
+  static platform::NodeSettings MakeSettings(std::uint16_t aPort)
+  {
+    platform::NodeSettings settings;
+    settings.m_nodeName = "self";
+    settings.m_store = { "127.0.0.1", aPort };
+    return settings;
+  }
+
+  /// Submits a job while the store closes all connections for aOutage. Returns the status and how
+  /// long it took.
+  std::pair<int, Millis> SubmitDuringOutage(soak::StoreFault aFault, Millis aOutage)
+  {
+    m_store.SetFault(aFault);
+    const TimerHandle end =
+      m_timers.After(aOutage, [this] { m_store.SetFault(soak::StoreFault::None); });
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_path = "/q/0123456789abcdef";
+    request.m_headers = { { "Host", "jobs" }, { "Deadline-Ms", "3000" } };
+    request.m_body = R"({"spec":"s","steps":[{"count":1,"cpu":1}]})";
+    const auto sink = std::make_shared<RecordingSink>();
+    const TimePoint sentAt = MonotonicNow();
+    m_gateway.Handle(std::move(request), HttpResponder(sink));
+    while (sink->m_responses.empty() && MonotonicNow() - sentAt < Millis(5'000)) {
+      m_io.run_for(Millis(10));
+    }
+    REQUIRE(sink->m_responses.size() == 1);
+    return { sink->m_responses[0].m_status,
+             std::chrono::duration_cast<Millis>(MonotonicNow() - sentAt) };
+  }
+
+  asio::io_context m_io;
+  TimerService m_timers{ m_io };
+  soak::RowStoreStandin m_store;
+  NodeFixture m_node;
+  Membership m_membership;
+  JobGateway m_gateway;
+};
+
+} // namespace
+
+TEST_CASE("a job that is submitted while the store closes connections is stored once they last")
+{
+  GatewayFixture fixture;
+  const auto [status, time] = fixture.SubmitDuringOutage(soak::StoreFault::Closing, Millis(1'000));
+  CHECK(status == 200);
+  CHECK(time < Millis(3'000));
+}
+
+TEST_CASE("an outage that outlasts the caller ends with an unknown outcome before its deadline")
+{
+  GatewayFixture fixture;
+  const auto [status, time] = fixture.SubmitDuringOutage(soak::StoreFault::Closing, Millis(60'000));
+  CHECK(status == 504);
+  CHECK(time < Millis(3'000));
+}
+
+TEST_CASE("a job that the store certainly did not take is refused at once")
+{
+  GatewayFixture fixture;
+  const auto [status, time] = fixture.SubmitDuringOutage(soak::StoreFault::Busy, Millis(60'000));
+  CHECK(status == 503);
+  CHECK(time < Millis(500));
+}
--- a/tests/node/ManyNodesTest.cpp
+++ b/tests/node/ManyNodesTest.cpp
@@ -11,6 +11,7 @@
 #include "node/FleetOrderController.h"
 #include "node/Membership.h"
 #include "node/ShardDirectory.h"
+#include "tests/node/NodeFixture.h"
 #include "tests/soak/RowStoreStandin.h"
 
 using namespace mustardtray;
@@ -21,7 +22,7 @@
 constexpr std::size_t kNodes = 60;
 constexpr std::size_t kPools = 5;
 constexpr std::size_t kMachinesPerPool = 120;
-/// Per node as many as at 300 nodes.
+/// Of all nodes together: 20 for each node.
 constexpr std::size_t kMaxReadsPerSecond = 1'200;
 constexpr std::size_t kMachinePages = 4;
 constexpr std::size_t kMaxPagesPerSecond = 12;
@@ -90,43 +91,24 @@
 class Node
 {
 public:
-  Node(asio::io_context& aIo,
-       TimerService& aTimers,
-       std::size_t aNumber,
-       platform::NodeSettings aSettings)
-    : m_settings(std::move(aSettings))
-    , m_http(aIo)
-    , m_store(m_http, m_settings.m_store)
-    , m_minionClient(m_http, {})
-    , m_machineClient(m_http, m_settings.m_machineApi)
-    , m_context{ aIo,
-                 aTimers,
-                 m_http,
-                 m_store,
-                 m_minionClient,
-                 m_machineClient,
-                 m_settings,
-                 fmt::format("{}", aNumber),
-                 {},
-                 {},
-                 {} }
+  Node(asio::io_context& aIo, TimerService& aTimers, platform::NodeSettings aSettings)
+    : m_fixture(aIo, aTimers, std::move(aSettings))
   {
-    m_context.m_deployment.m_version = 1;
     for (std::size_t i = 0; i < kPools; ++i) {
-      m_context.m_deployment.m_pools.push_back({ PoolName(i), true, false });
+      m_fixture.m_context.m_deployment.m_pools.push_back({ PoolName(i), true, false });
     }
     m_membership = std::make_unique<Membership>(
-      m_context,
+      m_fixture.m_context,
       "127.0.0.1:1",
       MembershipCallbacks{ [this](const job::OwnerRow& aClaim) { OnClaimed(aClaim); },
                            [](const std::string&) {},
                            [] {} });
-    m_shardDirectory =
-      std::make_unique<ShardDirectory>(m_context, [this] { m_membership->RequestDecision(); });
+    m_shardDirectory = std::make_unique<ShardDirectory>(
+      m_fixture.m_context, [this] { m_membership->RequestDecision(); });
     m_shardDirectory->FollowUntilComplete();
   }
 
-  const job::ShardMap& Shards() const { return m_context.m_shards; }
+  const job::ShardMap& Shards() const { return m_fixture.m_context.m_shards; }
   const std::vector<std::string>& Owned() const { return m_owned; }
 
 private:
@@ -135,7 +117,7 @@
     m_owned.push_back(aClaim.m_pool);
     if (aClaim.m_pool == kFleetPartition) {
       m_orderController = std::make_unique<FleetOrderController>(
-        m_context,
+        m_fixture.m_context,
         aClaim,
         [](const std::string&, const job::MachineRestrictions&, auto&& aDone) {
           aDone(Error{ ErrorKind::Unavailable, "query pool owner", "", "no owner" });
@@ -147,12 +129,7 @@
     }
   }
 
-  platform::NodeSettings m_settings;
-  HttpClient m_http;
-  platform::StoreClient m_store;
-  platform::MinionClient m_minionClient;
-  platform::MachineClient m_machineClient;
-  NodeContext m_context;
+  NodeFixture m_fixture;
   std::vector<std::string> m_owned;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<ShardDirectory> m_shardDirectory;
@@ -175,7 +152,7 @@
     settings.m_store = { "127.0.0.1", store.Port() };
     settings.m_machineApi = { "127.0.0.1", machineList.Port() };
     settings.m_machineReadsPerSecond = kMaxPagesPerSecond;
-    nodes.push_back(std::make_unique<Node>(io, timers, i, settings));
+    nodes.push_back(std::make_unique<Node>(io, timers, settings));
   }
   const std::size_t shards = kPools * job::ShardsFor(kMachinesPerPool);
   const auto countOwned = [&] {
--- /dev/null
+++ b/tests/node/MembershipTest.cpp
@@ -0,0 +1,119 @@
+#include "node/Membership.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "tests/node/NodeFixture.h"
+#include "tests/soak/RowStoreStandin.h"
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+namespace {
+
+constexpr const char* kPool = "pool";
+
+job::NodeRow MakeNodeRow(bool aIsEvicted)
+{
+  job::NodeRow row;
+  row.m_incarnation = "other-1";
+  row.m_address = "127.0.0.1:1";
+  row.m_isEvicted = aIsEvicted;
+  return row;
+}
+
+/// A node beside the rows of another one, "other", which owns the pool.
+struct MembershipFixture
+{
+  MembershipFixture()
+    : m_store(m_io, m_timers)
+    , m_node(m_io, m_timers, MakeSettings(m_store.Port()))
+  {
+    m_node.m_context.m_deployment.m_pools.push_back({ kPool, true, false });
+    m_node.m_context.m_shards.Set(kPool, 1);
+  }
+
+  static platform::NodeSettings MakeSettings(std::uint16_t aPort)
+  {
+    platform::NodeSettings settings;
+    settings.m_nodeName = "self";
+    settings.m_store = { "127.0.0.1", aPort };
+    return settings;
+  }
+
+  void Commit(const char* aTable, const std::string& aPartition, const std::string& aValue)
+  {
+    platform::Transaction transaction;
+    transaction.m_writes.push_back({ { aTable, aPartition, kSingleRowKey }, aValue });
+    m_node.m_store.Commit(
+      transaction, Millis(1'000), [](Result<platform::TransactionResult> aResult) {
+        REQUIRE(aResult.has_value());
+      });
+  }
+
+  void WriteOtherOwner()
+  {
+    Commit(kNodeTable, "other", job::EncodeNodeRow(MakeNodeRow(false)));
+    m_io.run_for(Millis(100));
+    job::OwnerRow owner;
+    owner.m_node = "other";
+    owner.m_incarnation = "other-1";
+    Commit(kOwnerTable, kPool, job::EncodeOwnerRow(owner));
+    m_io.run_for(Millis(100));
+    // A renewal, so that the row is newer than the claim.
+    Commit(kNodeTable, "other", job::EncodeNodeRow(MakeNodeRow(false)));
+    m_io.run_for(Millis(100));
+  }
+
+  void StartMembership()
+  {
+    m_membership = std::make_unique<Membership>(
+      m_node.m_context,
+      "127.0.0.1:1",
+      MembershipCallbacks{ [this](const job::OwnerRow& aClaim) { m_claimed.insert(aClaim.m_pool); },
+                           [](const std::string&) {},
+                           [] {} });
+  }
+
+  /// Runs until the pool is claimed, but at most for aTime.
+  void RunUntilClaimed(Millis aTime)
+  {
+    const TimePoint end = MonotonicNow() + aTime;
+    while (MonotonicNow() < end && !m_claimed.contains(kPool)) {
+      m_io.run_for(Millis(20));
+    }
+  }
+
+  asio::io_context m_io;
+  TimerService m_timers{ m_io };
+  soak::RowStoreStandin m_store;
+  NodeFixture m_node;
+  std::set<std::string> m_claimed;
+  std::unique_ptr<Membership> m_membership;
+};
+
+} // namespace
+
+TEST_CASE("a node claims the pools of an evicted node although it missed the eviction")
+{
+  // The store discards its history, so the change that marks the other node is never followed.
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.m_io.run_for(Millis(500));
+  fixture.WriteOtherOwner();
+  fixture.m_io.run_for(Millis(1'000));
+  fixture.m_store.PutWithoutHistory(
+    kNodeTable, "other", kSingleRowKey, job::EncodeNodeRow(MakeNodeRow(true)));
+  fixture.RunUntilClaimed(Millis(12'000));
+  CHECK(fixture.m_claimed.contains(kPool));
+}
+
+TEST_CASE("a node that starts claims the pool of an owner that was lost before")
+{
+  MembershipFixture fixture;
+  fixture.WriteOtherOwner();
+  fixture.StartMembership();
+  fixture.RunUntilClaimed(Millis(12'000));
+  CHECK(fixture.m_claimed.contains(kPool));
+}
--- /dev/null
+++ b/tests/node/TableFollowerTest.cpp
@@ -0,0 +1,70 @@
+#include "node/TableFollower.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "tests/node/NodeFixture.h"
+#include "tests/soak/RowStoreStandin.h"
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+TEST_CASE("a table that changes faster than one page holds is followed without a growing delay")
+{
+  // 3,000 minions that write every 1.5 s, followed with a pause between polls.
+  constexpr std::size_t kRowsPerPage = 500;
+  constexpr int kRowsPerRound = 200;
+  constexpr int kRounds = 20;
+  constexpr Millis kRoundTime{ 100 };
+  constexpr Millis kPollInterval{ 350 };
+  asio::io_context io;
+  TimerService timers(io);
+  soak::RowStoreStandin store(io, timers);
+  store.SetMaxRowsPerFeed(kRowsPerPage);
+  platform::NodeSettings settings;
+  settings.m_store = { "127.0.0.1", store.Port() };
+  NodeFixture node(io, timers, settings);
+  std::set<std::string> seen;
+  TableFollower follower(node.m_context,
+                         { platform::kMinionTable, true, Millis{ 1'000 }, kPollInterval },
+                         [&](const std::vector<platform::Row>& aRows, bool) {
+                           for (const platform::Row& row : aRows) {
+                             seen.insert(row.m_rowId.m_key);
+                           }
+                         });
+  io.run_for(Millis(100));
+  REQUIRE(follower.IsUpToDate());
+  for (int round = 0; round < kRounds; ++round) {
+    for (int i = 0; i < kRowsPerRound; ++i) {
+      store.Put(platform::kMinionTable, fmt::format("m-{}-{}", round, i), "{}");
+    }
+    io.run_for(kRoundTime);
+  }
+  io.run_for(2 * kPollInterval);
+  CHECK(seen.size() == kRounds * kRowsPerRound);
+}
+
+TEST_CASE("a follower of changes alone does not read the rows that exist")
+{
+  asio::io_context io;
+  TimerService timers(io);
+  soak::RowStoreStandin store(io, timers);
+  platform::NodeSettings settings;
+  settings.m_store = { "127.0.0.1", store.Port() };
+  NodeFixture node(io, timers, settings);
+  store.Put(platform::kMinionTable, "old", "{}");
+  std::set<std::string> seen;
+  TableFollower follower(node.m_context,
+                         { platform::kMinionTable, false, Millis{ 1'000 }, Millis{ 10 }, true },
+                         [&](const std::vector<platform::Row>& aRows, bool) {
+                           for (const platform::Row& row : aRows) {
+                             seen.insert(row.m_rowId.m_key);
+                           }
+                         });
+  io.run_for(Millis(100));
+  store.Put(platform::kMinionTable, "new", "{}");
+  io.run_for(Millis(100));
+  CHECK(seen == std::set<std::string>{ "new" });
+}
--- a/tests/soak/RowStoreStandin.cpp
+++ b/tests/soak/RowStoreStandin.cpp
@@ -46,6 +46,16 @@
   ServeWaitingFeeds();
 }
 
+void RowStoreStandin::PutWithoutHistory(const std::string& aTable,
+                                        const std::string& aPartition,
+                                        const std::string& aKey,
+                                        const std::string& aValue)
+{
+  ++m_version;
+  Apply({ aTable, aPartition, aKey, platform::EncodeBase64(aValue), m_version, false });
+  m_history.clear();
+}
+
 void RowStoreStandin::Remove(const std::string& aTable, const std::string& aKey)
 {
   ++m_version;
@@ -77,6 +87,9 @@
     case StoreFault::Busy:
       SendError(*aExchange, 503, "busy");
       return;
+    case StoreFault::Closing:
+      aExchange->Close();
+      return;
     case StoreFault::Unresponsive:
       m_delayTimers.push_back(m_timers.After(Micros{ 60'000'000 }, [aExchange] {}));
       return;
@@ -219,15 +232,26 @@
 bool RowStoreStandin::SendFeedResponse(const WaitingFeed& aFeed, bool aMustRespond) const
 {
   Json rows = Json::array();
+  std::uint64_t version = m_version; // From which the reader continues.
+  std::uint64_t lastVersion = 0;
   for (const Row& row : m_history) {
-    if (row.m_version > aFeed.m_afterVersion && row.m_table == aFeed.m_table) {
-      rows.push_back(ToJson(row));
+    if (row.m_version <= aFeed.m_afterVersion || row.m_table != aFeed.m_table) {
+      continue;
+    }
+    const bool isFull = m_maxRowsPerFeed > 0 && rows.size() >= m_maxRowsPerFeed;
+    if (isFull && row.m_version > lastVersion) {
+      version = lastVersion;
+      break;
     }
+    rows.push_back(ToJson(row));
+    lastVersion = row.m_version;
   }
   if (rows.empty() && !aMustRespond) {
     return false;
   }
-  SendJson(*aFeed.m_exchange, 200, MakeBody(std::move(rows)));
+  Json body = MakeBody(std::move(rows));
+  body["ver"] = version;
+  SendJson(*aFeed.m_exchange, 200, body);
   return true;
 }
 
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -17,6 +17,7 @@
 {
   None,
   Busy,          ///< Every request gets status 503 and has no effect.
+  Closing,       ///< Connections are closed without a response; requests have no effect.
   Unresponsive,  ///< Requests get no response and have no effect.
   Slow,          ///< Each response is delayed by some hundred milliseconds.
   ResponsesLost, ///< Half of the writes are applied without a response.
@@ -33,6 +34,13 @@
   void SetFault(StoreFault aFault) { m_fault = aFault; }
   /// Reads beyond this number in a second get status 429; 0 sets no limit.
   void SetMaxReadsPerSecond(std::size_t aReads) { m_maxReadsPerSecond = aReads; }
+  /// Changes in one answer of a feed; 0 sets no limit.
+  void SetMaxRowsPerFeed(std::size_t aRows) { m_maxRowsPerFeed = aRows; }
+  /// Writes a row and discards the history before any feed has the change.
+  void PutWithoutHistory(const std::string& aTable,
+                         const std::string& aPartition,
+                         const std::string& aKey,
+                         const std::string& aValue);
   std::size_t RefusedReads() const { return m_refusedReads; }
   /// Discards the history of changes, so that readers of feeds must read all rows again.
   void Compact() { m_history.clear(); }
@@ -80,6 +88,7 @@
   StandinServer m_server;
   StoreFault m_fault = StoreFault::None;
   std::size_t m_maxReadsPerSecond = 0;
+  std::size_t m_maxRowsPerFeed = 0;
   std::size_t m_readsInSecond = 0;
   std::size_t m_refusedReads = 0;
   TimePoint m_secondBeganAt{};
