Connection, node: late calls end after pending responses; long lists keep within the limit

The test of a blocked thread passed with libcurl's own timeout too, since all responses had been read before the thread was blocked; the extra rounds of the event loop had no test that needs them.

Change: the server of the test answers while the client's thread is blocked; with libcurl's timeout 0 of 300 responses are delivered, now all. The rounds are gone. The next list begins only when the reads of the latest one are within half of the limit; both pauses are functions of their own.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -9,7 +9,6 @@
 #include <vector>
 
 #include <asio/posix/stream_descriptor.hpp>
-#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
@@ -21,10 +20,6 @@
 
 constexpr long kMaxIdleConnections = 1024;
 constexpr std::size_t kMaxPooledHandles = 256;
-/// A timer that fires later than this shows that the thread was blocked.
-constexpr Millis kMaxTimerDelay{ 20 };
-/// Rounds of the event loop in which pending responses are read before late calls time out.
-constexpr int kRoundsBeforeLateTimeout = 8;
 
 void InitializeCurl()
 {
@@ -235,26 +230,15 @@
     m_deadlineTimer.async_wait([weak = weak_from_this()](const asio::error_code& aError) {
       const auto self = weak.lock();
       if (!aError && self) {
-        self->OnDeadline(0);
+        self->EndLateCalls();
       }
     });
   }
 
-  void OnDeadline(int aRound)
+  /// Runs after the handlers of sockets that became ready before the timer.
+  void EndLateCalls()
   {
-    if (m_deadlines.empty()) {
-      return;
-    }
     const auto now = std::chrono::steady_clock::now();
-    const bool isLate = now - m_deadlines.begin()->first > kMaxTimerDelay;
-    if (isLate && aRound < kRoundsBeforeLateTimeout) {
-      asio::post(m_context, [weak = weak_from_this(), aRound] {
-        if (const auto self = weak.lock()) {
-          self->OnDeadline(aRound + 1);
-        }
-      });
-      return;
-    }
     while (m_multi && !m_deadlines.empty() && m_deadlines.begin()->first <= now) {
       Finish(m_transfers.at(m_deadlines.begin()->second)->m_easy, CURLE_OPERATION_TIMEDOUT);
     }
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -72,7 +72,7 @@
   , m_announcedOrders(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin, kCallTimeout)
 {
   LoadState();
-  m_listTimer = m_context.m_timers.Every(kListPeriod, 0, [this] { ListMachines(); });
+  m_listTimer = m_context.m_timers.Every(kMachineListPeriod, 0, [this] { ListMachines(); });
   ListMachines();
   m_periodicTimer = m_context.m_timers.Every(kPlanPeriod, 0, [this] { Tick(); });
 }
--- a/src/node/MachineListReader.cpp
+++ b/src/node/MachineListReader.cpp
@@ -1,5 +1,6 @@
 #include "node/MachineListReader.h"
 
+#include <algorithm>
 #include <iterator>
 
 #include "mustardtray/process/Log.h"
@@ -15,10 +16,33 @@
 constexpr int kMaxFailuresPerPage = 5;
 /// Part of the allowed page reads that this node uses; a former holder may still be reading.
 constexpr double kReadShare = 0.5;
-constexpr double kMicrosPerSecond = 1e6;
+constexpr double kMinReadsPerSecond = 1;
+/// The timer that starts lists may fire early compared with the latest list.
+constexpr Millis kTimerTolerance{ 50 };
+
+double UsableReads(double aReadsPerSecond)
+{
+  return std::max(aReadsPerSecond * kReadShare, kMinReadsPerSecond);
+}
 
 } // namespace
 
+Micros PauseBeforeNextPage(int aPages, double aReadsPerSecond)
+{
+  const double reads = UsableReads(aReadsPerSecond);
+  const std::chrono::duration<double> period = kMachineListPeriod;
+  if (aPages < reads * period.count()) {
+    return Micros(0);
+  }
+  return std::chrono::duration_cast<Micros>(std::chrono::duration<double>(1.0 / reads));
+}
+
+Micros PeriodOfLists(int aPages, double aReadsPerSecond)
+{
+  const std::chrono::duration<double> reading(aPages / UsableReads(aReadsPerSecond));
+  return std::max(std::chrono::duration_cast<Micros>(reading), Micros(kMachineListPeriod));
+}
+
 MachineListReader::MachineListReader(NodeContext& aContext, ListCallback aOnList)
   : m_context(aContext)
   , m_onList(std::move(aOnList))
@@ -28,7 +52,7 @@
 
 void MachineListReader::Start()
 {
-  if (m_isReading) {
+  if (m_isReading || LeaseClockNow() < m_nextListAt) {
     return;
   }
   m_isReading = true;
@@ -59,6 +83,7 @@
 
 void MachineListReader::OnPage(Result<platform::MachinePage> aPage)
 {
+  ++m_pages;
   if (!aPage) {
     Log(LogCategory::Fleet,
         LogLevel::Warning,
@@ -84,15 +109,12 @@
                     std::make_move_iterator(machines.end()));
   m_token = aPage.value().m_nextToken;
   if (!m_token.empty()) {
-    // A short list is read without pauses: its pages stay within the limit of the list's period.
-    const double pagesPerSecond = m_context.m_settings.m_machineReadsPerSecond * kReadShare;
-    const double pagesPerList = pagesPerSecond * static_cast<double>(kListPeriod.count()) / 1'000.0;
-    const bool isSpaced = static_cast<double>(++m_pages) >= pagesPerList;
-    ReadPageAfter(
-      Micros(isSpaced ? static_cast<Micros::rep>(kMicrosPerSecond / pagesPerSecond) : 0));
+    ReadPageAfter(PauseBeforeNextPage(m_pages, m_context.m_settings.m_machineReadsPerSecond));
     return;
   }
   m_isReading = false;
+  m_nextListAt = m_askedAt + PeriodOfLists(m_pages, m_context.m_settings.m_machineReadsPerSecond) -
+                 kTimerTolerance;
   m_onList(std::move(m_machines), m_askedAt);
 }
 
--- a/src/node/MachineListReader.h
+++ b/src/node/MachineListReader.h
@@ -15,7 +15,16 @@
 
 /// Shortest time between the beginnings of two lists. It is short compared with a move, so that a
 /// machine that has arrived soon gets its next order.
-inline constexpr Millis kListPeriod{ 400 };
+inline constexpr Millis kMachineListPeriod{ 400 };
+
+/// Returns the pause before the next page. Lists that stay within the limit of reads are read
+/// without pauses, so that machines that have arrived are seen early; the pages of longer ones are
+/// spaced. aPages: pages of this list that have been read. aReadsPerSecond: limit of all nodes
+/// together.
+Micros PauseBeforeNextPage(int aPages, double aReadsPerSecond);
+/// Returns the time between the beginnings of two lists of aPages pages that keeps all their reads
+/// within half of the limit; at least kMachineListPeriod.
+Micros PeriodOfLists(int aPages, double aReadsPerSecond);
 
 class MachineListReader
 {
@@ -27,7 +36,8 @@
   MachineListReader(const MachineListReader&) = delete;
   MachineListReader& operator=(const MachineListReader&) = delete;
 
-  /// Begins to read the list, unless it is being read.
+  /// Begins to read the list, unless it is being read or the reads of the latest one have used up
+  /// the limit.
   void Start();
 
 private:
@@ -43,7 +53,8 @@
   std::string m_token; ///< Of the page that is read next.
   std::vector<job::Machine> m_machines;
   TimePoint m_askedAt{};
-  int m_pages = 0;    ///< Pages read of this list.
+  TimePoint m_nextListAt{};
+  int m_pages = 0;    ///< Pages read of this list, and calls that failed.
   int m_failures = 0; ///< Failed calls since the latest page.
   bool m_isReading = false;
 };
--- a/tests/connection/HttpClientTest.cpp
+++ b/tests/connection/HttpClientTest.cpp
@@ -1,5 +1,9 @@
 #include "mustardtray/connection/HttpClient.h"
 
+#include <future>
+#include <thread>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "tests/support/RawSocket.h"
@@ -71,18 +75,36 @@
 TEST_CASE("HttpClient delivers a response that arrived in time although its thread was blocked")
 {
   constexpr int kCalls = 300; // More than the event loop takes up in one round.
-  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", kCalls);
+  asio::io_context serverContext;
+  asio::ip::tcp::acceptor acceptor(serverContext, Loopback(0));
+  std::promise<void> isBlocked;
+  std::thread server([&] {
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < kCalls; ++i) {
+      sockets.push_back(acceptor.accept());
+      std::string head;
+      asio::read_until(sockets.back(), asio::dynamic_buffer(head), "\r\n\r\n");
+    }
+    isBlocked.get_future().wait();
+    for (asio::ip::tcp::socket& socket : sockets) {
+      asio::write(socket,
+                  asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    }
+  });
   asio::io_context context;
   HttpClient client(context);
   int answered = 0;
   for (int i = 0; i < kCalls; ++i) {
-    HttpCall call = CallTo(server.Port());
-    call.m_timeout = Millis(300);
+    HttpCall call = CallTo(acceptor.local_endpoint().port());
+    call.m_timeout = Millis(1'500);
     client.Start(std::move(call), [&](HttpCallResult aResult) { answered += aResult ? 1 : 0; });
   }
-  context.run_for(Millis(50));
-  std::this_thread::sleep_for(Millis(600));
-  context.run_for(Millis(200));
+  context.run_for(Millis(500));
+  CHECK(answered == 0);
+  isBlocked.set_value();
+  server.join();
+  std::this_thread::sleep_for(Millis(1'500)); // Longer than the timeout of the calls.
+  context.run_for(Millis(500));
   CHECK(client.Running() == 0);
   CHECK(answered == kCalls);
 }
