Placement, fleet: logs tell why units wait and how many machines a shard wants

An incident with units that never ran again could not be explained from the logs: they do not show which test of placement each minion failed, how many minions a shard knows, may use and waits for, or how many machines the planner wants for it. ChooseMinion and the counts share FindObstacle(), so a logged reason is the one that was decided on. Every two seconds an owner logs at most three steps, and the holder of the machine orders at most 20 shards that changed.

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -39,11 +39,20 @@
   std::string m_from;       ///< Shard of the machine, or the spare pool.
 };
 
+/// Number of machines that a shard has and needs.
+struct ShardBalance
+{
+  std::string m_shard;
+  std::size_t m_machines = 0; ///< Machines of the shard, including those being moved to it.
+  std::size_t m_wantedMachines = 0;
+};
+
 struct FleetPlan
 {
   std::map<std::string, MachineRestrictions> m_restrictions; ///< By shard.
   std::vector<MachineOrder> m_orders;
   std::vector<std::uint64_t> m_completedWaves;
+  std::vector<ShardBalance> m_balances; ///< Before the moves of this plan.
 };
 
 struct FleetTimes
@@ -75,14 +84,6 @@
   void MarkCompleted(std::uint64_t aWave) { m_waves.at(aWave).m_isCompleted = true; }
 
 private:
-  /// Number of machines that a shard has and needs.
-  struct ShardBalance
-  {
-    std::string m_shard;
-    std::size_t m_machines = 0; ///< Machines of the shard, including those being moved to it.
-    std::size_t m_wantedMachines = 0;
-  };
-
   std::vector<ShardBalance> Balances(const Deployment& aDeployment, TimePoint aNow) const;
   void PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
   /// Idle machines of a shard that can be moved out of it.
--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -20,6 +20,33 @@
   const AdviceCache* m_advice = nullptr; ///< If set, only minions with a ticket are used.
 };
 
+/// Why a minion cannot get a unit at present: the first check that failed.
+enum class PlacementObstacle
+{
+  None,
+  Unregistered,
+  NotFenced, ///< It has not answered this owner.
+  Unrecorded,
+  Cordoned,
+  Draining,
+  MissedCall,
+  Paused,
+  Suspicious,
+  Cpu,
+  Memory,
+  Gpu,
+  Label,
+  NoTicket,
+  StepLimit, ///< It has as many units of the step as the step allows on one minion.
+};
+
+/// Returns what keeps the minion from getting any new work.
+PlacementObstacle FindObstacle(const MinionState& aMinion, TimePoint aNow);
+/// Returns what keeps the minion from getting a unit.
+PlacementObstacle FindObstacle(const MinionState& aMinion,
+                               const PlacementRequest& aRequest,
+                               TimePoint aNow);
+
 /// Returns the minion for the unit, or nullptr when it fits on none at present.
 MinionState* ChooseMinion(MinionTable& aMinions, const PlacementRequest& aRequest, TimePoint aNow);
 
@@ -38,3 +65,29 @@
 bool IsSuspicious(const MinionState& aMinion);
 
 } // namespace mustardtray::job
+
+namespace mustardtray {
+
+template<>
+struct EnumNames<job::PlacementObstacle>
+{
+  static constexpr std::array kTable{
+    std::pair{ job::PlacementObstacle::None, std::string_view("none") },
+    std::pair{ job::PlacementObstacle::Unregistered, std::string_view("unregistered") },
+    std::pair{ job::PlacementObstacle::NotFenced, std::string_view("not-fenced") },
+    std::pair{ job::PlacementObstacle::Unrecorded, std::string_view("unrecorded") },
+    std::pair{ job::PlacementObstacle::Cordoned, std::string_view("cordoned") },
+    std::pair{ job::PlacementObstacle::Draining, std::string_view("draining") },
+    std::pair{ job::PlacementObstacle::MissedCall, std::string_view("missed-call") },
+    std::pair{ job::PlacementObstacle::Paused, std::string_view("paused") },
+    std::pair{ job::PlacementObstacle::Suspicious, std::string_view("suspicious") },
+    std::pair{ job::PlacementObstacle::Cpu, std::string_view("cpu") },
+    std::pair{ job::PlacementObstacle::Memory, std::string_view("memory") },
+    std::pair{ job::PlacementObstacle::Gpu, std::string_view("gpu") },
+    std::pair{ job::PlacementObstacle::Label, std::string_view("label") },
+    std::pair{ job::PlacementObstacle::NoTicket, std::string_view("no-ticket") },
+    std::pair{ job::PlacementObstacle::StepLimit, std::string_view("step-limit") },
+  };
+};
+
+} // namespace mustardtray
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -51,6 +51,27 @@
   std::size_t m_spreadMinions = 0; ///< Needed to spread the widest long-running step.
 };
 
+/// A step with units that wait, and what keeps them from the pool's minions.
+struct WaitingStep
+{
+  std::string m_name;      ///< As the placement advisor names it.
+  std::size_t m_units = 0; ///< Units that wait.
+  bool m_isLongRunning = false;
+  bool m_waitsForRecovery = false; ///< Minions of an earlier owner have not answered yet.
+  std::map<PlacementObstacle, std::size_t> m_minionsByObstacle;
+};
+
+/// Numbers of minions of a pool, for logs.
+struct MinionCounts
+{
+  std::size_t m_known = 0;
+  std::size_t m_usable = 0;  ///< Can get new work.
+  std::size_t m_awaited = 0; ///< See PoolScheduler::AwaitMinion().
+};
+
+/// How long a refused job counts as demand: its caller retries within about this time.
+inline constexpr Millis kRefusedDemandTime{ 1'500 };
+
 /// A job counts as late when its latest start has passed by more than this: starts and ends are
 /// reported with some delay.
 inline constexpr Millis kLateTolerance{ 300 };
@@ -127,6 +148,9 @@
   void Decide(TimePoint aNow, WallTime aWallNow);
   PoolOrders TakeOrders();
   PoolLoad MeasureLoad(TimePoint aNow) const;
+  /// Describes the steps with waiting units, first those that are placed first.
+  std::vector<WaitingStep> DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const;
+  MinionCounts CountMinions(TimePoint aNow) const;
   /// Called when a job was refused: its work still counts as demand for a while.
   void OnRefused(const JobRecord& aRecord, TimePoint aNow);
   /// Called at a caller's first attempt to submit a job, whether or not it is accepted.
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -212,8 +212,8 @@
          IsOrderAllowed(aMachine.m_name, aNow);
 }
 
-std::vector<FleetPlanner::ShardBalance> FleetPlanner::Balances(const Deployment& aDeployment,
-                                                               TimePoint aNow) const
+std::vector<ShardBalance> FleetPlanner::Balances(const Deployment& aDeployment,
+                                                 TimePoint aNow) const
 {
   std::int64_t cpu = 0;
   std::map<std::string, std::size_t> counts;
@@ -325,6 +325,7 @@
       balance.m_machines -= move.m_from == balance.m_shard && balance.m_machines > 0 ? 1 : 0;
     }
   }
+  aPlan.m_balances = balances;
   std::vector<std::string> spareMachines;
   for (const auto& [name, machine] : m_machines) {
     if (machine.m_pool == spare->m_name && IsUsable(machine, aNow) &&
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -48,41 +48,88 @@
   return aMinion.m_consecutiveFailures >= kSuspiciousFailures;
 }
 
-bool AcceptsWork(const MinionState& aMinion, TimePoint aNow)
+PlacementObstacle FindObstacle(const MinionState& aMinion, TimePoint aNow)
 {
-  if (!aMinion.m_isRegistered || !aMinion.m_isFenced || !aMinion.m_isRecorded ||
-      aMinion.m_isCordoned || aMinion.m_entry.m_isDraining ||
-      aMinion.m_missedCalls >= kMaxMissedCalls || aNow < aMinion.m_pausedUntil) {
-    return false;
+  if (!aMinion.m_isRegistered) {
+    return PlacementObstacle::Unregistered;
+  }
+  if (!aMinion.m_isFenced) {
+    return PlacementObstacle::NotFenced;
+  }
+  if (!aMinion.m_isRecorded) {
+    return PlacementObstacle::Unrecorded;
+  }
+  if (aMinion.m_isCordoned) {
+    return PlacementObstacle::Cordoned;
+  }
+  if (aMinion.m_entry.m_isDraining) {
+    return PlacementObstacle::Draining;
+  }
+  if (aMinion.m_missedCalls >= kMaxMissedCalls) {
+    return PlacementObstacle::MissedCall;
+  }
+  if (aNow < aMinion.m_pausedUntil) {
+    return PlacementObstacle::Paused;
+  }
+  if (IsSuspicious(aMinion) && (!aMinion.m_runs.empty() || aNow < aMinion.m_probeAt)) {
+    return PlacementObstacle::Suspicious;
   }
-  return !IsSuspicious(aMinion) || (aMinion.m_runs.empty() && aNow >= aMinion.m_probeAt);
+  return PlacementObstacle::None;
+}
+
+PlacementObstacle FindObstacle(const MinionState& aMinion,
+                               const PlacementRequest& aRequest,
+                               TimePoint aNow)
+{
+  if (const PlacementObstacle obstacle = FindObstacle(aMinion, aNow);
+      obstacle != PlacementObstacle::None) {
+    return obstacle;
+  }
+  const StepSpec& step = *aRequest.m_step;
+  const Resources need = step.Reserved();
+  const Resources free = aMinion.Free();
+  if (free.m_cpu < need.m_cpu) {
+    return PlacementObstacle::Cpu;
+  }
+  if (free.m_memoryMb < need.m_memoryMb) {
+    return PlacementObstacle::Memory;
+  }
+  if (free.m_gpu < need.m_gpu) {
+    return PlacementObstacle::Gpu;
+  }
+  if (!step.m_requiredLabel.empty() && !aMinion.m_entry.HasLabel(step.m_requiredLabel)) {
+    return PlacementObstacle::Label;
+  }
+  if (aRequest.m_advice &&
+      !aRequest.m_advice->FindTicket(StepName(aRequest.m_unitPrefix), aMinion.m_entry.m_id, aNow)) {
+    return PlacementObstacle::NoTicket;
+  }
+  if (step.m_maxPerMinion > 0 &&
+      CountUnitsOfStep(aMinion, aRequest.m_unitPrefix) >= static_cast<int>(step.m_maxPerMinion)) {
+    return PlacementObstacle::StepLimit;
+  }
+  return PlacementObstacle::None;
+}
+
+bool AcceptsWork(const MinionState& aMinion, TimePoint aNow)
+{
+  return FindObstacle(aMinion, aNow) == PlacementObstacle::None;
 }
 
 MinionState* ChooseMinion(MinionTable& aMinions, const PlacementRequest& aRequest, TimePoint aNow)
 {
   const StepSpec& step = *aRequest.m_step;
   const Resources need = step.Reserved();
-  const std::string stepName = aRequest.m_advice ? StepName(aRequest.m_unitPrefix) : std::string{};
   MinionState* best = nullptr;
   double bestScore = 0;
   for (auto& [id, minion] : aMinions) {
-    if (!AcceptsWork(minion, aNow) || !minion.Free().Fits(need)) {
-      continue;
-    }
-    if (!step.m_requiredLabel.empty() && !minion.m_entry.HasLabel(step.m_requiredLabel)) {
-      continue;
-    }
-    if (aRequest.m_advice && !aRequest.m_advice->FindTicket(stepName, id, aNow)) {
+    if (FindObstacle(minion, aRequest, aNow) != PlacementObstacle::None) {
       continue;
     }
     double score = FreeShareAfter(minion, need);
-    if (step.m_maxPerMinion > 0 || step.m_isLongRunning) {
-      const int present = CountUnitsOfStep(minion, aRequest.m_unitPrefix);
-      if (step.m_maxPerMinion > 0 && present >= static_cast<int>(step.m_maxPerMinion)) {
-        continue;
-      }
-      score += step.m_isLongRunning ? kSameStepPenalty * present : 0.0;
-      score += step.m_isLongRunning && minion.m_isAwaitingMaintenance ? kMaintenancePenalty : 0.0;
+    if (step.m_isLongRunning) {
+      score += kSameStepPenalty * CountUnitsOfStep(minion, aRequest.m_unitPrefix);
+      score += minion.m_isAwaitingMaintenance ? kMaintenancePenalty : 0.0;
     }
     if (!step.m_dataRack.empty() && !minion.m_entry.HasLabel(step.m_dataRack)) {
       score += kRemoteDataPenalty;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// How long a refused job counts as demand: its caller retries within about this time.
-constexpr Millis kRefusedDemandTime{ 1'500 };
 /// A minion that answered within this time is assumed to still run what it listed.
 constexpr Millis kMaxReportAge{ 1'600 };
 /// Time that units on a cordoned minion have to end by themselves before they are stopped.
@@ -393,56 +391,4 @@
   }
 }
 
-bool PoolScheduler::LacksMemory(const StepSpec& aStep, TimePoint aNow) const
-{
-  const Resources need = aStep.Reserved();
-  bool hasCpu = false;
-  for (const auto& [id, minion] : m_minions) {
-    if (!AcceptsWork(minion, aNow) || minion.Free().m_cpu < need.m_cpu) {
-      continue;
-    }
-    hasCpu = true;
-    if (minion.Free().Fits(need)) {
-      return false;
-    }
-  }
-  return hasCpu;
-}
-
-PoolLoad PoolScheduler::MeasureLoad(TimePoint aNow) const
-{
-  PoolLoad load;
-  for (const auto& [id, minion] : m_minions) {
-    if (minion.m_isRegistered && !minion.m_isCordoned) {
-      load.m_capacityCpu += minion.m_entry.m_capacity.m_cpu;
-      load.m_usedCpu += minion.m_used.m_cpu;
-    }
-  }
-  for (const QueuedStep& queued : m_queued) {
-    const std::int64_t cpu = queued.Spec().Reserved().m_cpu;
-    for (const Unit& unit : queued.State().m_units) {
-      load.m_waitingCpu += !unit.m_isDone && unit.m_minions.empty() ? cpu : 0;
-    }
-    load.m_lacksMemory = load.m_lacksMemory || LacksMemory(queued.Spec(), aNow);
-  }
-  for (const Job* job : m_activeJobs) {
-    for (const StepSpec& step : job->m_record.m_spec.m_steps) {
-      if (step.m_isLongRunning && !job->m_occurrences.empty()) {
-        const std::size_t perMinion = step.m_maxPerMinion == 0 ? 1 : step.m_maxPerMinion;
-        load.m_longRunningCpu += step.Reserved().m_cpu * step.m_count;
-        load.m_spreadMinions =
-          std::max(load.m_spreadMinions, (step.m_count + perMinion - 1) / perMinion);
-      }
-    }
-  }
-  for (const Job* job : m_activeJobs) {
-    load.m_backlogCores += UsableCores(*job);
-  }
-  load.m_arrivingCores = m_arrivals.DemandedCores(aNow);
-  for (const auto& [at, cores] : m_refusedDemand) {
-    load.m_backlogCores += aNow - at <= kRefusedDemandTime ? cores : 0;
-  }
-  return load;
-}
-
 } // namespace mustardtray::job
--- /dev/null
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -0,0 +1,102 @@
+#include "mustardtray/job/PoolScheduler.h"
+
+#include <algorithm>
+
+/// Load of a pool, and the reasons why units wait.
+
+namespace mustardtray::job {
+
+bool PoolScheduler::LacksMemory(const StepSpec& aStep, TimePoint aNow) const
+{
+  const Resources need = aStep.Reserved();
+  bool hasCpu = false;
+  for (const auto& [id, minion] : m_minions) {
+    if (!AcceptsWork(minion, aNow) || minion.Free().m_cpu < need.m_cpu) {
+      continue;
+    }
+    hasCpu = true;
+    if (minion.Free().Fits(need)) {
+      return false;
+    }
+  }
+  return hasCpu;
+}
+
+PoolLoad PoolScheduler::MeasureLoad(TimePoint aNow) const
+{
+  PoolLoad load;
+  for (const auto& [id, minion] : m_minions) {
+    if (minion.m_isRegistered && !minion.m_isCordoned) {
+      load.m_capacityCpu += minion.m_entry.m_capacity.m_cpu;
+      load.m_usedCpu += minion.m_used.m_cpu;
+    }
+  }
+  for (const QueuedStep& queued : m_queued) {
+    const std::int64_t cpu = queued.Spec().Reserved().m_cpu;
+    for (const Unit& unit : queued.State().m_units) {
+      load.m_waitingCpu += !unit.m_isDone && unit.m_minions.empty() ? cpu : 0;
+    }
+    load.m_lacksMemory = load.m_lacksMemory || LacksMemory(queued.Spec(), aNow);
+  }
+  for (const Job* job : m_activeJobs) {
+    for (const StepSpec& step : job->m_record.m_spec.m_steps) {
+      if (step.m_isLongRunning && !job->m_occurrences.empty()) {
+        const std::size_t perMinion = step.m_maxPerMinion == 0 ? 1 : step.m_maxPerMinion;
+        load.m_longRunningCpu += step.Reserved().m_cpu * step.m_count;
+        load.m_spreadMinions =
+          std::max(load.m_spreadMinions, (step.m_count + perMinion - 1) / perMinion);
+      }
+    }
+  }
+  for (const Job* job : m_activeJobs) {
+    load.m_backlogCores += UsableCores(*job);
+  }
+  load.m_arrivingCores = m_arrivals.DemandedCores(aNow);
+  for (const auto& [at, cores] : m_refusedDemand) {
+    load.m_backlogCores += aNow - at <= kRefusedDemandTime ? cores : 0;
+  }
+  return load;
+}
+
+std::vector<WaitingStep> PoolScheduler::DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const
+{
+  std::vector<WaitingStep> steps;
+  const bool isRecovering = IsRecovering(aNow);
+  for (const QueuedStep& queued : m_queued) {
+    const std::vector<Unit>& units = queued.State().m_units;
+    WaitingStep step;
+    step.m_units =
+      static_cast<std::size_t>(std::count_if(units.begin(), units.end(), [](const Unit& aUnit) {
+        return !aUnit.m_isDone && aUnit.m_minions.empty();
+      }));
+    if (step.m_units == 0) {
+      continue;
+    }
+    if (steps.size() == aMaxSteps) {
+      break;
+    }
+    const PlacementRequest request = RequestFor(queued);
+    step.m_name = StepName(request.m_unitPrefix);
+    step.m_isLongRunning = queued.Spec().m_isLongRunning;
+    step.m_waitsForRecovery = isRecovering && queued.m_job->m_isInherited;
+    for (const auto& [id, minion] : m_minions) {
+      ++step.m_minionsByObstacle[FindObstacle(minion, request, aNow)];
+    }
+    steps.push_back(std::move(step));
+  }
+  return steps;
+}
+
+MinionCounts PoolScheduler::CountMinions(TimePoint aNow) const
+{
+  MinionCounts counts;
+  counts.m_known = m_minions.size();
+  counts.m_awaited = m_awaited.size();
+  counts.m_usable = static_cast<std::size_t>(
+    std::count_if(m_minions.begin(), m_minions.end(), [&](const auto& aEntry) {
+      return AcceptsWork(aEntry.second, aNow);
+    }));
+  return counts;
+}
+
+} // namespace mustardtray::job
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -20,6 +20,9 @@
 /// Limits the calls to the owners of shards, so that this node's work does not grow with the fleet.
 constexpr std::size_t kMaxSyncsPerSecond = 200;
 constexpr Millis kCallTimeout{ 1'500 };
+constexpr Millis kBalanceLogPeriod{ 2'000 };
+/// Shards whose balances are logged at a time.
+constexpr std::size_t kMaxLoggedBalances = 20;
 /// No order is sent when less of the lease than this is left.
 constexpr Millis kMinOrderTimeout{ 400 };
 constexpr Millis kReadTimeout{ 1'500 };
@@ -171,6 +174,7 @@
   const job::Deployment& deployment = m_context.m_deployment;
   const job::FleetPlan plan = m_planner.Plan(deployment, m_context.m_shards, LeaseClockNow());
   m_restrictions = plan.m_restrictions;
+  LogBalances(plan.m_balances);
   std::vector<std::string> shards;
   for (const job::PoolSpec& pool : deployment.m_pools) {
     if (pool.m_isSpare) {
@@ -193,6 +197,34 @@
   }
 }
 
+void FleetOrderController::LogBalances(const std::vector<job::ShardBalance>& aBalances)
+{
+  const TimePoint now = LeaseClockNow();
+  if (now - m_balancesLoggedAt < kBalanceLogPeriod) {
+    return;
+  }
+  m_balancesLoggedAt = now;
+  std::size_t logged = 0;
+  for (const job::ShardBalance& balance : aBalances) {
+    std::pair<std::size_t, std::size_t>& last = m_loggedBalances[balance.m_shard];
+    const std::pair current(balance.m_machines, balance.m_wantedMachines);
+    if (current == last || logged == kMaxLoggedBalances) {
+      continue;
+    }
+    last = current;
+    ++logged;
+    Log(LogCategory::Fleet,
+        LogLevel::Info,
+        "machines-wanted",
+        "pool",
+        balance.m_shard,
+        "machines",
+        balance.m_machines,
+        "wanted",
+        balance.m_wantedMachines);
+  }
+}
+
 void FleetOrderController::SyncPool(const std::string& aPool)
 {
   if (!m_pendingSyncs.insert(aPool).second) {
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -51,6 +51,8 @@
   void FinishLoading();
   void ListMachines();
   void Tick();
+  /// Logs the shards whose number of machines or of wanted machines has changed.
+  void LogBalances(const std::vector<job::ShardBalance>& aBalances);
   /// Sends the cordons to the pool's owner, then sends the orders that its report permits.
   void SyncPool(const std::string& aPool);
   void SendPoolOrders(const job::FleetPlan& aPlan, const std::string& aPool);
@@ -74,6 +76,9 @@
   std::map<std::string, job::MachineRestrictions> m_restrictions;
   std::set<std::string> m_pendingSyncs;
   std::map<std::string, TimePoint> m_syncedAt; ///< When a pool's owner was last asked.
+  /// Logged machines and wanted machines, by shard.
+  std::map<std::string, std::pair<std::size_t, std::size_t>> m_loggedBalances;
+  TimePoint m_balancesLoggedAt{};
   std::set<std::string> m_pendingOrders;
   std::set<std::uint64_t> m_pendingStatusWrites;
   job::AnnouncedOrders m_announcedOrders;
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -83,6 +83,8 @@
   void FinishLoading();
   void RequestDecision();
   void DecideNow();
+  /// Logs the steps with waiting units, and why they wait.
+  void LogWaiting() const;
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
   void SendStop(const job::StopOrder& aOrder);
@@ -116,6 +118,7 @@
   std::vector<job::MinionEntry> m_deferredMinionEntries;
   std::vector<job::MachineIncarnation> m_deferredIncarnations;
   TimerHandle m_periodicTimer;
+  TimerHandle m_logTimer;
   TimerHandle m_decisionTimer;
   TimerHandle m_retryTimer;
   TimerHandle m_drainTimer;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -12,6 +12,7 @@
 constexpr Millis kReadTimeout{ 2'000 };
 constexpr Micros kReadRetryDelay{ 150'000 };
 constexpr Millis kDecisionPeriod{ 100 };
+constexpr Millis kWaitingLogPeriod{ 2'000 };
 /// A takeover waits for the longest lease of an earlier owner, on a minion clock that runs 2% slow,
 /// plus a margin.
 constexpr double kClockSlowdown = 1.03;
@@ -167,6 +168,7 @@
     },
     [] {});
   m_periodicTimer = m_context.m_timers.Every(kDecisionPeriod, 0, [this] { DecideNow(); });
+  m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] { LogWaiting(); });
   DecideNow();
 }
 
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -1,5 +1,7 @@
 #include "node/PoolOwner.h"
 
+#include <fmt/format.h>
+
 #include "mustardtray/process/Log.h"
 
 /// Sends the scheduler's orders to minions.
@@ -9,11 +11,50 @@
 namespace {
 
 constexpr Millis kOrderTimeout{ 500 };
+/// Steps with waiting units that are logged at a time.
+constexpr std::size_t kMaxLoggedSteps = 3;
 /// The advisor handles this node's requests one at a time and needs time for each minion named.
 constexpr Millis kAdviceTimeout{ 2'500 };
 
 } // namespace
 
+void PoolOwner::LogWaiting() const
+{
+  const TimePoint now = LeaseClockNow();
+  const std::vector<job::WaitingStep> steps = m_scheduler.DescribeWaiting(kMaxLoggedSteps, now);
+  if (steps.empty() || !IsAuthoritative()) {
+    return;
+  }
+  const job::MinionCounts counts = m_scheduler.CountMinions(now);
+  for (const job::WaitingStep& step : steps) {
+    std::string obstacles;
+    for (const auto& [obstacle, minions] : step.m_minionsByObstacle) {
+      obstacles += fmt::format("{}{}:{}", obstacles.empty() ? "" : ",", ToName(obstacle), minions);
+    }
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "step-waiting",
+        "pool",
+        Pool(),
+        "step",
+        step.m_name,
+        "units",
+        step.m_units,
+        "lasting",
+        step.m_isLongRunning,
+        "recovering",
+        step.m_waitsForRecovery,
+        "minions",
+        counts.m_known,
+        "usable",
+        counts.m_usable,
+        "awaited",
+        counts.m_awaited,
+        "obstacles",
+        obstacles);
+  }
+}
+
 void PoolOwner::ExecuteOrders(job::PoolOrders aOrders)
 {
   for (const job::StopOrder& order : aOrders.m_stops) {
