--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -148,6 +148,8 @@
   void Decide(TimePoint aNow, WallTime aWallNow);
   PoolOrders TakeOrders();
   PoolLoad MeasureLoad(TimePoint aNow) const;
+  /// Machines on which nothing runs, so that they may be moved to another pool.
+  std::vector<std::string> IdleMachines() const;
   /// Describes the steps with waiting units, first those that are placed first.
   std::vector<WaitingStep> DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const;
   MinionCounts CountMinions(TimePoint aNow) const;
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -58,6 +58,17 @@
   return load;
 }
 
+std::vector<std::string> PoolScheduler::IdleMachines() const
+{
+  std::vector<std::string> machines;
+  for (const auto& [id, minion] : m_minions) {
+    if (minion.m_isRegistered && !minion.m_isCordoned && minion.m_runs.empty()) {
+      machines.push_back(minion.m_entry.m_machine);
+    }
+  }
+  return machines;
+}
+
 std::vector<WaitingStep> PoolScheduler::DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const
 {
   std::vector<WaitingStep> steps;
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -312,11 +312,7 @@
       report.m_drainedMachines.push_back(machine);
     }
   }
-  for (const auto& [id, minion] : m_scheduler.Minions()) {
-    if (minion.m_isRegistered && !minion.m_isCordoned && minion.m_runs.empty()) {
-      report.m_idleMachines.push_back(minion.m_entry.m_machine);
-    }
-  }
+  report.m_idleMachines = m_scheduler.IdleMachines();
   return report;
 }
 
