--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -1,7 +1,6 @@
 #include "mustardtray/job/FleetPlanner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace mustardtray::job {
@@ -11,18 +10,6 @@
 /// Maximum delay from the end of an order until the machine list shows the machine as up again.
 constexpr Millis kMachineListDelay{ 1'200 };
 constexpr Millis kOrderRetryDelay{ 700 };
-/// Older reports are ignored: they no longer reflect the load.
-constexpr Millis kMaxReportAge{ 1'500 };
-/// Accounts for minions that are never completely full and for work that arrives before the
-/// machines.
-constexpr double kArrivalMargin = 1.2;
-/// Machines that a pool keeps at any load, so that occasional jobs find free capacity.
-constexpr std::size_t kMinMachines = 1;
-/// Surplus machines go back to the spare pool after this time. An idle machine costs as much as a
-/// move there and back in about two seconds.
-constexpr Millis kSurplusDelay{ 600 };
-/// A move is given up when its machine still has work after this time.
-constexpr Millis kMoveTimeout{ 1'500 };
 /// Share of a wave's duration in which it is planned to end.
 constexpr double kWaveTimeShare = 0.8;
 /// Assumed for a wave that is already late.
@@ -212,182 +199,6 @@
          IsOrderAllowed(aMachine.m_name, aNow);
 }
 
-std::vector<ShardBalance> FleetPlanner::Balances(const Deployment& aDeployment,
-                                                 TimePoint aNow) const
-{
-  std::int64_t cpu = 0;
-  std::map<std::string, std::size_t> counts;
-  for (const auto& [name, machine] : m_machines) {
-    cpu += machine.m_capacity.m_cpu;
-    const auto order = m_doneOrders.find(name);
-    const bool isMoving = HasActiveOrder(name, aNow) && !order->second.m_movedTo.empty();
-    if (machine.m_state != MachineState::Down) {
-      ++counts[isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine)];
-    }
-  }
-  std::vector<ShardBalance> balances;
-  if (m_machines.empty() || cpu == 0) {
-    return balances;
-  }
-  const double machineCpu = static_cast<double>(cpu) / static_cast<double>(m_machines.size());
-  std::vector<std::string> shards;
-  for (const PoolSpec& pool : aDeployment.m_pools) {
-    const std::vector<std::string> names = m_shards.Names(pool.m_name);
-    if (!pool.m_isSpare) {
-      shards.insert(shards.end(), names.begin(), names.end());
-    }
-  }
-  for (const std::string& shard : shards) {
-    const auto found = m_reports.find(shard);
-    if (found == m_reports.end() || aNow - found->second.m_reportedAt > kMaxReportAge) {
-      continue;
-    }
-    const PoolLoad& load = found->second.m_load;
-    const double cores = std::max(load.m_backlogCores, load.m_arrivingCores * kArrivalMargin);
-    const double batch = cores * 1'000.0; // In thousandths of a core, like capacities.
-    const double need = (static_cast<double>(load.m_longRunningCpu) + batch) / machineCpu;
-    ShardBalance balance;
-    balance.m_shard = shard;
-    balance.m_machines = counts[shard];
-    balance.m_wantedMachines =
-      std::max({ static_cast<std::size_t>(std::ceil(need)), load.m_spreadMinions, kMinMachines });
-    if (load.m_lacksMemory) {
-      // The need above only counts CPU. Machines are added one at a time until there is enough
-      // memory.
-      balance.m_wantedMachines = std::max(balance.m_wantedMachines, balance.m_machines + 1);
-    }
-    balances.push_back(balance);
-  }
-  return balances;
-}
-
-std::vector<std::string> FleetPlanner::RemovableMachines(const std::string& aPool,
-                                                         const FleetPlan& aPlan,
-                                                         TimePoint aNow) const
-{
-  std::vector<std::string> removable;
-  const auto report = m_reports.find(aPool);
-  const auto restrictions = aPlan.m_restrictions.find(aPool);
-  if (report == m_reports.end()) {
-    return removable;
-  }
-  for (const std::string& name : report->second.m_idle) {
-    const auto machine = m_machines.find(name);
-    const bool isTaken =
-      restrictions != aPlan.m_restrictions.end() && restrictions->second.m_cordoned.contains(name);
-    if (machine != m_machines.end() && ShardOf(machine->second) == aPool && !isTaken &&
-        IsUsable(machine->second, aNow) && !m_pendingMoves.contains(name)) {
-      removable.push_back(name);
-    }
-  }
-  std::stable_partition(removable.begin(), removable.end(), [&](const std::string& aName) {
-    return m_awaitingMaintenance.contains(aName);
-  });
-  return removable;
-}
-
-void FleetPlanner::BeginMove(const std::string& aMachine,
-                             const std::string& aFrom,
-                             const std::string& aTo,
-                             FleetPlan& aPlan,
-                             TimePoint aNow)
-{
-  m_pendingMoves[aMachine] = { aFrom, aTo, aNow };
-  aPlan.m_restrictions[aFrom].m_cordoned.insert(aMachine);
-}
-
-void FleetPlanner::PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow)
-{
-  const PoolSpec* spare = aDeployment.SparePool();
-  if (!spare) {
-    return;
-  }
-  for (auto pendingMove = m_pendingMoves.begin(); pendingMove != m_pendingMoves.end();) {
-    const auto& [name, move] = *pendingMove;
-    const auto machine = m_machines.find(name);
-    const bool isStale = machine == m_machines.end() || ShardOf(machine->second) != move.m_from ||
-                         !IsUsable(machine->second, aNow) ||
-                         m_maintenanceCandidates.contains(name) || aNow - move.m_at > kMoveTimeout;
-    if (isStale) {
-      pendingMove = m_pendingMoves.erase(pendingMove);
-      continue;
-    }
-    aPlan.m_restrictions[move.m_from].m_cordoned.insert(name);
-    if (IsDrained(move.m_from, name)) {
-      aPlan.m_orders.push_back({ name, 0, ShardMap::PoolOf(move.m_to), move.m_from });
-    }
-    ++pendingMove;
-  }
-  std::vector<ShardBalance> balances = Balances(aDeployment, aNow);
-  for (ShardBalance& balance : balances) {
-    for (const auto& [name, move] : m_pendingMoves) {
-      balance.m_machines += move.m_to == balance.m_shard ? 1 : 0;
-      balance.m_machines -= move.m_from == balance.m_shard && balance.m_machines > 0 ? 1 : 0;
-    }
-  }
-  aPlan.m_balances = balances;
-  std::vector<std::string> spareMachines;
-  for (const auto& [name, machine] : m_machines) {
-    if (machine.m_pool == spare->m_name && IsUsable(machine, aNow) &&
-        !m_maintenanceCandidates.contains(name)) {
-      spareMachines.push_back(name);
-    }
-  }
-  // Machines that wait for maintenance are moved last: in the spare pool they need no draining.
-  std::stable_partition(spareMachines.begin(), spareMachines.end(), [&](const std::string& aName) {
-    return !m_awaitingMaintenance.contains(aName);
-  });
-  // The shard that lacks the most machines in proportion comes first.
-  std::sort(
-    balances.begin(), balances.end(), [](const ShardBalance& aLeft, const ShardBalance& aRight) {
-      return static_cast<double>(aLeft.m_wantedMachines) /
-               static_cast<double>(aLeft.m_machines + 1) >
-             static_cast<double>(aRight.m_wantedMachines) /
-               static_cast<double>(aRight.m_machines + 1);
-    });
-  for (ShardBalance& receiver : balances) {
-    const std::string pool = ShardMap::PoolOf(receiver.m_shard);
-    for (auto name = spareMachines.begin();
-         name != spareMachines.end() && receiver.m_machines < receiver.m_wantedMachines;) {
-      if (m_shards.Of(pool, *name) != receiver.m_shard) {
-        ++name; // The machine belongs to another shard of the pool.
-        continue;
-      }
-      aPlan.m_orders.push_back({ *name, 0, pool, spare->m_name });
-      name = spareMachines.erase(name);
-      ++receiver.m_machines;
-    }
-    for (ShardBalance& donor : balances) {
-      for (const std::string& name : RemovableMachines(donor.m_shard, aPlan, aNow)) {
-        const bool isUseful = receiver.m_machines < receiver.m_wantedMachines &&
-                              donor.m_machines > donor.m_wantedMachines;
-        if (isUseful && ShardMap::PoolOf(donor.m_shard) != pool &&
-            m_shards.Of(pool, name) == receiver.m_shard) {
-          BeginMove(name, donor.m_shard, receiver.m_shard, aPlan, aNow);
-          ++receiver.m_machines;
-          --donor.m_machines;
-        }
-      }
-    }
-  }
-  for (ShardBalance& donor : balances) {
-    if (donor.m_machines <= donor.m_wantedMachines) {
-      m_surplusSince.erase(donor.m_shard);
-      continue;
-    }
-    const TimePoint since = m_surplusSince.emplace(donor.m_shard, aNow).first->second;
-    if (aNow - since < kSurplusDelay) {
-      continue;
-    }
-    for (const std::string& name : RemovableMachines(donor.m_shard, aPlan, aNow)) {
-      if (donor.m_machines > donor.m_wantedMachines) {
-        BeginMove(name, donor.m_shard, spare->m_name, aPlan, aNow);
-        --donor.m_machines;
-      }
-    }
-  }
-}
-
 std::string FleetPlanner::ShardOf(const Machine& aMachine) const
 {
   return m_shards.Of(aMachine.m_pool, aMachine.m_name);
