Fleet: machines for waiting units that fit on no minion of their shard

Callers saw units that are to last and did not run, with room for them (LOST).

Cause: the planner derived the machines of a shard from sums of resources and from the width of the widest long-running step. Two jobs whose units cannot share minions need the sum of their widths. After a takeover the units of inherited jobs wait for the end of the recovery, so their minions counted as idle and were moved to other pools, down to the width of the widest step; the one remedy, a machine at a time while memory is lacking, ended as soon as some minion had memory, though that one held a unit of the same step already.

Minions that would get long-running units or members of a gang are not idle. Units that fit on no minion are reported with their needs, and the planner moves machines that can hold them, before it balances load. Machines on their way count, so none is moved twice. The same cause kept units with a label and gangs wider than the free capacity waiting; both are covered.

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -45,6 +45,8 @@
   std::string m_shard;
   std::size_t m_machines = 0; ///< Machines of the shard, including those being moved to it.
   std::size_t m_wantedMachines = 0;
+  /// Waiting units that need further machines, beyond those that are on their way.
+  std::vector<UnplacedUnits> m_unplaced;
 };
 
 struct FleetPlan
@@ -85,6 +87,18 @@
 
 private:
   std::vector<ShardBalance> Balances(const Deployment& aDeployment, TimePoint aNow) const;
+  /// Machines of the shard whose minions its owner does not know yet. aMachines: all machines of
+  /// the shard; aMoving: those that are being moved to it or have just arrived.
+  std::size_t ArrivingMachines(const std::string& aShard,
+                               std::size_t aMachines,
+                               std::size_t aMoving,
+                               TimePoint aNow) const;
+  /// Moves machines that can hold units which fit on no minion of their shard.
+  void PlanUnplaced(std::vector<ShardBalance>& aBalances,
+                    std::vector<std::string>& aSpareMachines,
+                    const std::string& aSparePool,
+                    FleetPlan& aPlan,
+                    TimePoint aNow);
   void PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
   /// Idle machines of a shard that can be moved out of it.
   std::vector<std::string> RemovableMachines(const std::string& aPool,
@@ -135,7 +149,9 @@
     TimePoint m_at{};
   };
   std::map<std::string, PendingMove> m_pendingMoves;
-  std::map<std::string, TimePoint> m_surplusSince; ///< By shard.
+  std::map<std::string, TimePoint> m_surplusSince;  ///< By shard.
+  std::map<std::string, TimePoint> m_unplacedSince; ///< By shard.
+  std::map<std::string, TimePoint> m_arrivedAt;     ///< Latest arrival of a moved machine.
 };
 
 } // namespace mustardtray::job
--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -58,6 +58,8 @@
                                           const StepSpec& aStep,
                                           TimePoint aNow);
 
+/// Counts the minion's runs whose unit names begin with the prefix of a step and occurrence.
+std::uint32_t CountUnitsOfStep(const MinionState& aMinion, const std::string& aUnitPrefix);
 /// Whether the minion can get any new work at present.
 bool AcceptsWork(const MinionState& aMinion, TimePoint aNow);
 /// Whether the minion has failed runs or refused orders so often in a row that it gets only one
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -16,6 +16,7 @@
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Placement.h"
+#include "mustardtray/job/PlacementForecast.h"
 #include "mustardtray/job/PoolState.h"
 #include "mustardtray/job/RunTimeCorrection.h"
 
@@ -48,7 +49,10 @@
   double m_arrivingCores = 0;        ///< Kept busy by recent arrivals; see ArrivalRate.
   /// Whether a unit waits although minions have the CPU for it, because they lack the memory.
   bool m_lacksMemory = false;
-  std::size_t m_spreadMinions = 0; ///< Needed to spread the widest long-running step.
+  std::size_t m_spreadMinions = 0;       ///< Needed to spread the widest long-running step.
+  std::size_t m_minions = 0;             ///< Registered minions that are not cordoned.
+  std::size_t m_hostMinions = 0;         ///< See PlacementForecast::m_hosts.
+  std::vector<UnplacedUnits> m_unplaced; ///< Waiting units that fit on no minion of the pool.
 };
 
 /// A step with units that wait, and what keeps them from the pool's minions.
@@ -148,8 +152,8 @@
   void Decide(TimePoint aNow, WallTime aWallNow);
   PoolOrders TakeOrders();
   PoolLoad MeasureLoad(TimePoint aNow) const;
-  /// Machines on which nothing runs, so that they may be moved to another pool.
-  std::vector<std::string> IdleMachines() const;
+  /// Machines on which nothing runs or will run soon, so that they may be moved to another pool.
+  std::vector<std::string> IdleMachines(TimePoint aNow) const;
   /// Describes the steps with waiting units, first those that are placed first.
   std::vector<WaitingStep> DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const;
   MinionCounts CountMinions(TimePoint aNow) const;
@@ -235,6 +239,8 @@
   };
   Backlog MeasureBacklog(TimePoint aNow) const;
   bool IsLate(const Job& aJob, TimePoint aNow) const;
+  PlacementForecast ForecastWaiting(TimePoint aNow) const;
+  static std::uint32_t CountWaiting(const QueuedStep& aQueued);
   /// Whether the units of a step fit on no minion only because memory is missing.
   bool LacksMemory(const StepSpec& aStep, TimePoint aNow) const;
   /// Returns the cores that finish the job's work within a short objective, limited to what the job
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -26,6 +26,7 @@
                             machine.m_state == MachineState::Up &&
                             machine.m_pool == order->second.m_movedTo;
     if (hasArrived) {
+      m_arrivedAt[machine.m_name] = aAskedAt;
       m_doneOrders.erase(order);
     }
     m_machines.emplace(machine.m_name, std::move(machine));
@@ -43,6 +44,11 @@
 
 void FleetPlanner::SetReport(const std::string& aPool, PoolReport aReport)
 {
+  if (aReport.m_load.m_unplaced.empty()) {
+    m_unplacedSince.erase(aPool);
+  } else {
+    m_unplacedSince.emplace(aPool, aReport.m_reportedAt);
+  }
   m_reports[aPool] = std::move(aReport);
 }
 
--- a/src/job/FleetPlannerMoves.cpp
+++ b/src/job/FleetPlannerMoves.cpp
@@ -19,29 +19,56 @@
 /// Surplus machines go back to the spare pool after this time. An idle machine costs as much as a
 /// move there and back in about two seconds.
 constexpr Millis kSurplusDelay{ 600 };
+/// Time until a shard's owner knows the minion of a machine that is up.
+constexpr Millis kMinionArrivalTime{ 2'500 };
 /// A move is given up when its machine still has work after this time.
 constexpr Millis kMoveTimeout{ 1'500 };
 
 } // namespace
 
+std::size_t FleetPlanner::ArrivingMachines(const std::string& aShard,
+                                           std::size_t aMachines,
+                                           std::size_t aMoving,
+                                           TimePoint aNow) const
+{
+  const std::size_t known = m_reports.at(aShard).m_load.m_minions;
+  const std::size_t unknown = aMachines > known ? aMachines - known : 0;
+  const auto since = m_unplacedSince.find(aShard);
+  // A new owner reads the registrations of its minions only after it has loaded the shard.
+  const bool isOwnerNew =
+    since != m_unplacedSince.end() && aNow - since->second < kMinionArrivalTime;
+  return isOwnerNew ? unknown : std::min(unknown, aMoving);
+}
+
 std::vector<ShardBalance> FleetPlanner::Balances(const Deployment& aDeployment,
                                                  TimePoint aNow) const
 {
-  std::int64_t cpu = 0;
+  Resources capacity;
   std::map<std::string, std::size_t> counts;
+  std::map<std::string, std::size_t> moving;
   for (const auto& [name, machine] : m_machines) {
-    cpu += machine.m_capacity.m_cpu;
+    capacity += machine.m_capacity;
     const auto order = m_doneOrders.find(name);
     const bool isMoving = HasActiveOrder(name, aNow) && !order->second.m_movedTo.empty();
     if (machine.m_state != MachineState::Down) {
-      ++counts[isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine)];
+      const std::string shard =
+        isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine);
+      const auto arrival = m_arrivedAt.find(name);
+      const bool hasJustArrived =
+        arrival != m_arrivedAt.end() && aNow - arrival->second < kMinionArrivalTime;
+      ++counts[shard];
+      moving[shard] += isMoving || hasJustArrived || machine.m_state != MachineState::Up ? 1 : 0;
     }
   }
   std::vector<ShardBalance> balances;
-  if (m_machines.empty() || cpu == 0) {
+  if (m_machines.empty() || capacity.m_cpu == 0) {
     return balances;
   }
-  const double machineCpu = static_cast<double>(cpu) / static_cast<double>(m_machines.size());
+  const auto count = static_cast<std::int64_t>(m_machines.size());
+  const Resources meanCapacity{ capacity.m_cpu / count,
+                                capacity.m_memoryMb / count,
+                                capacity.m_gpu / count };
+  const auto machineCpu = static_cast<double>(meanCapacity.m_cpu);
   std::vector<std::string> shards;
   for (const PoolSpec& pool : aDeployment.m_pools) {
     const std::vector<std::string> names = m_shards.Names(pool.m_name);
@@ -61,13 +88,20 @@
     ShardBalance balance;
     balance.m_shard = shard;
     balance.m_machines = counts[shard];
-    balance.m_wantedMachines =
-      std::max({ static_cast<std::size_t>(std::ceil(need)), load.m_spreadMinions, kMinMachines });
+    balance.m_wantedMachines = std::max({ static_cast<std::size_t>(std::ceil(need)),
+                                          load.m_spreadMinions,
+                                          load.m_hostMinions,
+                                          kMinMachines });
     if (load.m_lacksMemory) {
       // The need above only counts CPU. Machines are added one at a time until there is enough
       // memory.
       balance.m_wantedMachines = std::max(balance.m_wantedMachines, balance.m_machines + 1);
     }
+    balance.m_unplaced = load.m_unplaced;
+    for (std::size_t i = ArrivingMachines(shard, balance.m_machines, moving[shard], aNow); i > 0;
+         --i) {
+      TakeUnitsFor(meanCapacity, nullptr, balance.m_unplaced);
+    }
     balances.push_back(balance);
   }
   return balances;
@@ -108,6 +142,45 @@
   aPlan.m_restrictions[aFrom].m_cordoned.insert(aMachine);
 }
 
+void FleetPlanner::PlanUnplaced(std::vector<ShardBalance>& aBalances,
+                                std::vector<std::string>& aSpareMachines,
+                                const std::string& aSparePool,
+                                FleetPlan& aPlan,
+                                TimePoint aNow)
+{
+  const auto takeUnits = [this](ShardBalance& aReceiver, const std::string& aName) {
+    const Machine& machine = m_machines.at(aName);
+    const bool isOfShard =
+      m_shards.Of(ShardMap::PoolOf(aReceiver.m_shard), aName) == aReceiver.m_shard;
+    return isOfShard && TakeUnitsFor(machine.m_capacity, &machine.m_labels, aReceiver.m_unplaced);
+  };
+  for (ShardBalance& receiver : aBalances) {
+    const std::string pool = ShardMap::PoolOf(receiver.m_shard);
+    for (auto name = aSpareMachines.begin();
+         name != aSpareMachines.end() && !receiver.m_unplaced.empty();) {
+      if (!takeUnits(receiver, *name)) {
+        ++name;
+        continue;
+      }
+      aPlan.m_orders.push_back({ *name, 0, pool, aSparePool });
+      name = aSpareMachines.erase(name);
+      ++receiver.m_machines;
+    }
+    for (ShardBalance& donor : aBalances) {
+      if (receiver.m_unplaced.empty() || ShardMap::PoolOf(donor.m_shard) == pool) {
+        continue;
+      }
+      for (const std::string& name : RemovableMachines(donor.m_shard, aPlan, aNow)) {
+        if (donor.m_machines > donor.m_wantedMachines && takeUnits(receiver, name)) {
+          BeginMove(name, donor.m_shard, receiver.m_shard, aPlan, aNow);
+          ++receiver.m_machines;
+          --donor.m_machines;
+        }
+      }
+    }
+  }
+}
+
 void FleetPlanner::PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow)
 {
   const PoolSpec* spare = aDeployment.SparePool();
@@ -149,6 +222,7 @@
   std::stable_partition(spareMachines.begin(), spareMachines.end(), [&](const std::string& aName) {
     return !m_awaitingMaintenance.contains(aName);
   });
+  PlanUnplaced(balances, spareMachines, spare->m_name, aPlan, aNow);
   // The shard that lacks the most machines in proportion comes first.
   std::sort(
     balances.begin(), balances.end(), [](const ShardBalance& aLeft, const ShardBalance& aRight) {
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -17,17 +17,6 @@
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
 
-int CountUnitsOfStep(const MinionState& aMinion, const std::string& aPrefix)
-{
-  int count = 0;
-  for (auto run = aMinion.m_runs.lower_bound(aPrefix);
-       run != aMinion.m_runs.end() && run->first.starts_with(aPrefix);
-       ++run) {
-    ++count;
-  }
-  return count;
-}
-
 /// Returns the share of the minion's capacity that stays free after placing the unit. Small values
 /// are preferred, so that whole minions stay free for wide steps and for moves.
 double FreeShareAfter(const MinionState& aMinion, const Resources& aNeed)
@@ -43,6 +32,17 @@
 
 } // namespace
 
+std::uint32_t CountUnitsOfStep(const MinionState& aMinion, const std::string& aUnitPrefix)
+{
+  std::uint32_t count = 0;
+  for (auto run = aMinion.m_runs.lower_bound(aUnitPrefix);
+       run != aMinion.m_runs.end() && run->first.starts_with(aUnitPrefix);
+       ++run) {
+    ++count;
+  }
+  return count;
+}
+
 bool IsSuspicious(const MinionState& aMinion)
 {
   return aMinion.m_consecutiveFailures >= kSuspiciousFailures;
@@ -105,7 +105,7 @@
     return PlacementObstacle::NoTicket;
   }
   if (step.m_maxPerMinion > 0 &&
-      CountUnitsOfStep(aMinion, aRequest.m_unitPrefix) >= static_cast<int>(step.m_maxPerMinion)) {
+      CountUnitsOfStep(aMinion, aRequest.m_unitPrefix) >= step.m_maxPerMinion) {
     return PlacementObstacle::StepLimit;
   }
   return PlacementObstacle::None;
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -6,6 +6,13 @@
 
 namespace mustardtray::job {
 
+namespace {
+
+/// Steps in a report of units that fit on no minion; limits the size of the report.
+constexpr std::size_t kMaxUnplacedSteps = 32;
+
+} // namespace
+
 bool PoolScheduler::LacksMemory(const StepSpec& aStep, TimePoint aNow) const
 {
   const Resources need = aStep.Reserved();
@@ -29,15 +36,18 @@
     if (minion.m_isRegistered && !minion.m_isCordoned) {
       load.m_capacityCpu += minion.m_entry.m_capacity.m_cpu;
       load.m_usedCpu += minion.m_used.m_cpu;
+      ++load.m_minions;
     }
   }
   for (const QueuedStep& queued : m_queued) {
-    const std::int64_t cpu = queued.Spec().Reserved().m_cpu;
-    for (const Unit& unit : queued.State().m_units) {
-      load.m_waitingCpu += !unit.m_isDone && unit.m_minions.empty() ? cpu : 0;
-    }
-    load.m_lacksMemory = load.m_lacksMemory || LacksMemory(queued.Spec(), aNow);
+    load.m_waitingCpu += queued.Spec().Reserved().m_cpu * CountWaiting(queued);
+    load.m_lacksMemory =
+      load.m_lacksMemory || (!queued.Spec().m_isLongRunning && LacksMemory(queued.Spec(), aNow));
   }
+  PlacementForecast forecast = ForecastWaiting(aNow);
+  load.m_hostMinions = forecast.m_hosts.size();
+  load.m_unplaced = std::move(forecast.m_unplaced);
+  load.m_unplaced.resize(std::min(load.m_unplaced.size(), kMaxUnplacedSteps));
   for (const Job* job : m_activeJobs) {
     for (const StepSpec& step : job->m_record.m_spec.m_steps) {
       if (step.m_isLongRunning && !job->m_occurrences.empty()) {
@@ -58,11 +68,33 @@
   return load;
 }
 
-std::vector<std::string> PoolScheduler::IdleMachines() const
+std::uint32_t PoolScheduler::CountWaiting(const QueuedStep& aQueued)
+{
+  const std::vector<Unit>& units = aQueued.State().m_units;
+  return static_cast<std::uint32_t>(
+    std::count_if(units.begin(), units.end(), [](const Unit& aUnit) {
+      return !aUnit.m_isDone && aUnit.m_minions.empty();
+    }));
+}
+
+PlacementForecast PoolScheduler::ForecastWaiting(TimePoint aNow) const
+{
+  std::vector<WaitingUnits> waiting;
+  for (const QueuedStep& queued : m_queued) {
+    if (const std::uint32_t units = CountWaiting(queued); units > 0) {
+      waiting.push_back({ &queued.Spec(), RequestFor(queued).m_unitPrefix, units });
+    }
+  }
+  return ForecastPlacement(m_minions, waiting, aNow);
+}
+
+std::vector<std::string> PoolScheduler::IdleMachines(TimePoint aNow) const
 {
+  const PlacementForecast forecast = ForecastWaiting(aNow);
   std::vector<std::string> machines;
   for (const auto& [id, minion] : m_minions) {
-    if (minion.m_isRegistered && !minion.m_isCordoned && minion.m_runs.empty()) {
+    if (minion.m_isRegistered && !minion.m_isCordoned && minion.m_runs.empty() &&
+        !forecast.m_hosts.contains(id)) {
       machines.push_back(minion.m_entry.m_machine);
     }
   }
@@ -74,12 +106,8 @@
   std::vector<WaitingStep> steps;
   const bool isRecovering = IsRecovering(aNow);
   for (const QueuedStep& queued : m_queued) {
-    const std::vector<Unit>& units = queued.State().m_units;
     WaitingStep step;
-    step.m_units =
-      static_cast<std::size_t>(std::count_if(units.begin(), units.end(), [](const Unit& aUnit) {
-        return !aUnit.m_isDone && aUnit.m_minions.empty();
-      }));
+    step.m_units = CountWaiting(queued);
     if (step.m_units == 0) {
       continue;
     }
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -1,5 +1,7 @@
 #include "node/PeerMessages.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace mustardtray {
@@ -152,12 +154,29 @@
 
 std::string EncodeFleetReport(const FleetReport& aReport)
 {
+  json unplaced = json::array();
+  for (const job::UnplacedUnits& units : aReport.m_load.m_unplaced) {
+    unplaced.push_back({ { "cpu", units.m_need.m_cpu },
+                         { "memory", units.m_need.m_memoryMb },
+                         { "gpu", units.m_need.m_gpu },
+                         { "label", units.m_requiredLabel },
+                         { "per-minion", units.m_maxPerMinion },
+                         { "count", units.m_count } });
+  }
   return json{
-    { "capacity", aReport.m_load.m_capacityCpu }, { "used", aReport.m_load.m_usedCpu },
-    { "waiting", aReport.m_load.m_waitingCpu },   { "lasting", aReport.m_load.m_longRunningCpu },
-    { "backlog", aReport.m_load.m_backlogCores }, { "arriving", aReport.m_load.m_arrivingCores },
-    { "spread", aReport.m_load.m_spreadMinions }, { "lacks-memory", aReport.m_load.m_lacksMemory },
-    { "clear", aReport.m_drainedMachines },       { "idle", aReport.m_idleMachines }
+    { "capacity", aReport.m_load.m_capacityCpu },
+    { "used", aReport.m_load.m_usedCpu },
+    { "waiting", aReport.m_load.m_waitingCpu },
+    { "lasting", aReport.m_load.m_longRunningCpu },
+    { "backlog", aReport.m_load.m_backlogCores },
+    { "arriving", aReport.m_load.m_arrivingCores },
+    { "spread", aReport.m_load.m_spreadMinions },
+    { "lacks-memory", aReport.m_load.m_lacksMemory },
+    { "minions", aReport.m_load.m_minions },
+    { "hosts", aReport.m_load.m_hostMinions },
+    { "unplaced", std::move(unplaced) },
+    { "clear", aReport.m_drainedMachines },
+    { "idle", aReport.m_idleMachines }
   }.dump();
 }
 
@@ -173,6 +192,20 @@
     report.m_load.m_arrivingCores = aIn.at("arriving").get<double>();
     report.m_load.m_lacksMemory = aIn.at("lacks-memory").get<bool>();
     report.m_load.m_spreadMinions = aIn.at("spread").get<std::size_t>();
+    // A node of an earlier release does not send these.
+    report.m_load.m_minions = aIn.value("minions", std::size_t{ 0 });
+    report.m_load.m_hostMinions = aIn.value("hosts", std::size_t{ 0 });
+    for (const json& in : aIn.value("unplaced", json::array())) {
+      job::UnplacedUnits units;
+      units.m_need = { in.at("cpu").get<std::int64_t>(),
+                       in.at("memory").get<std::int64_t>(),
+                       in.at("gpu").get<std::int64_t>() };
+      units.m_requiredLabel = in.at("label").get<std::string>();
+      units.m_maxPerMinion = in.at("per-minion").get<std::uint32_t>();
+      units.m_count = std::min(in.at("count").get<std::uint32_t>(),
+                               static_cast<std::uint32_t>(job::kMaxUnitsPerJob));
+      report.m_load.m_unplaced.push_back(std::move(units));
+    }
     report.m_drainedMachines = aIn.at("clear").get<std::vector<std::string>>();
     report.m_idleMachines = aIn.at("idle").get<std::vector<std::string>>();
     return report;
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -312,7 +312,7 @@
       report.m_drainedMachines.push_back(machine);
     }
   }
-  report.m_idleMachines = m_scheduler.IdleMachines();
+  report.m_idleMachines = m_scheduler.IdleMachines(LeaseClockNow());
   return report;
 }
 
--- a/tests/job/LongRunningPlacementTest.cpp
+++ b/tests/job/LongRunningPlacementTest.cpp
@@ -1,5 +1,7 @@
 #include "mustardtray/job/FleetPlanner.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "PoolFixture.h"
@@ -105,7 +107,7 @@
     m_pool.SetRestrictions(plan.m_restrictions["pool"], m_now);
     PoolReport report;
     report.m_load = m_pool.MeasureLoad(m_now);
-    report.m_idle = m_pool.IdleMachines();
+    report.m_idle = m_pool.IdleMachines(m_now);
     for (const std::string& name : plan.m_restrictions["pool"].m_cordoned) {
       if (m_pool.IsDrained(name, m_now)) {
         report.m_drained.insert(name);
@@ -164,6 +166,14 @@
     }
     return units;
   }
+
+  std::size_t MachinesInPool() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(m_machines.begin(), m_machines.end(), [](const auto& aEntry) {
+        return aEntry.second.m_machine.m_pool == "pool";
+      }));
+  }
 };
 
 JobRecord MakeLongRunningJob(const std::string& aId, std::uint32_t aUnits, std::int64_t aMemoryMb)
@@ -204,4 +214,49 @@
   }
   fleet.Run(Millis(6'000));
   CHECK(fleet.RunningUnits() == 32);
+  // Units that have no minion while seven are silent bring four machines, and no more.
+  CHECK(fleet.MachinesInPool() <= 39);
+}
+
+TEST_CASE("units of a label get a machine with it while the pool has idle machines without it")
+{
+  MovingFleet fleet(0);
+  for (auto& [name, machine] : fleet.m_machines) {
+    if (machine.m_machine.m_labels.front() == "odd" && fleet.MachinesInPool() < 3) {
+      machine.m_machine.m_pool = "pool";
+    }
+  }
+  fleet.RegisterAll();
+  fleet.Run(Millis(500));
+  JobRecord job = MakeJob("aaaaaaaaaaaaaaaa", 2, 9'000);
+  job.m_spec.m_steps[0].m_requiredLabel = "even";
+  fleet.m_pool.AddJob(job, fleet.m_now, false);
+  fleet.Run(Millis(4'000));
+  CHECK(fleet.RunningUnits() == 2);
+}
+
+TEST_CASE("a gang gets machines for all its members, not only for the work that they have")
+{
+  MovingFleet fleet(1);
+  fleet.RegisterAll();
+  fleet.Run(Millis(500));
+  JobRecord job = MakeJob("aaaaaaaaaaaaaaaa", 12, 30'000);
+  job.m_spec.m_steps[0].m_isGang = true;
+  job.m_spec.m_steps[0].m_estimate = Millis(100);
+  fleet.m_pool.AddJob(job, fleet.m_now, false);
+  fleet.Run(Millis(4'000));
+  CHECK(fleet.RunningUnits() == 12);
+}
+
+TEST_CASE("a machine whose minion never registers is replaced for units that wait for it")
+{
+  // One of three machines of the pool is listed as up and runs no minion.
+  MovingFleet fleet(3);
+  fleet.RegisterAll();
+  MovingFleet::SimulatedMachine& dead = fleet.m_machines.begin()->second;
+  fleet.m_pool.RemoveMinion(MovingFleet::MinionOf(dead), fleet.m_now);
+  dead.m_isSilent = true;
+  fleet.m_pool.AddJob(MakeLongRunningJob("aaaaaaaaaaaaaaaa", 3, 100'000), fleet.m_now, false);
+  fleet.Run(Millis(6'000));
+  CHECK(fleet.RunningUnits() == 3);
 }
