Fleet: forecast without unreachable minions, gangs as a whole, each machine counted once

Found by review of the forecast and its trials: - A minion that has not answered a new owner and misses calls, is cordoned or drains counted as available, as the first failed check hid the others. The checks that pass by themselves come last now. - The minions of a gang that fits in part counted as in use: a gang of 70 units kept 60 machines. It gets machines only when there are enough for all units. - A unit larger than the mean machine was not covered by a machine on its way, pending moves from other pools did not count, and 'a new owner' was taken from the time since units waited: up to 28 orders for one unit. The real machines that arrive are used, and the owner reports its age. - A machine in maintenance counts as arriving only if that is short.

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -14,6 +14,10 @@
 
 namespace mustardtray::job {
 
+/// Time until a shard's owner knows the minion of a machine that is up, and until a new owner knows
+/// the minions of its shard.
+inline constexpr Millis kMinionArrivalTime{ 2'500 };
+
 struct WaveState
 {
   WaveRequest m_request;
@@ -87,12 +91,13 @@
 
 private:
   std::vector<ShardBalance> Balances(const Deployment& aDeployment, TimePoint aNow) const;
-  /// Machines of the shard whose minions its owner does not know yet. aMachines: all machines of
-  /// the shard; aMoving: those that are being moved to it or have just arrived.
-  std::size_t ArrivingMachines(const std::string& aShard,
-                               std::size_t aMachines,
-                               std::size_t aMoving,
-                               TimePoint aNow) const;
+  /// Machines of a shard; those that are being moved to it or have just arrived come first.
+  struct ShardMachines
+  {
+    std::vector<const Machine*> m_machines;
+    std::size_t m_arriving = 0;
+  };
+  std::map<std::string, ShardMachines> MachinesByShard(TimePoint aNow) const;
   /// Moves machines that can hold units which fit on no minion of their shard.
   void PlanUnplaced(std::vector<ShardBalance>& aBalances,
                     std::vector<std::string>& aSpareMachines,
@@ -149,9 +154,8 @@
     TimePoint m_at{};
   };
   std::map<std::string, PendingMove> m_pendingMoves;
-  std::map<std::string, TimePoint> m_surplusSince;  ///< By shard.
-  std::map<std::string, TimePoint> m_unplacedSince; ///< By shard.
-  std::map<std::string, TimePoint> m_arrivedAt;     ///< Latest arrival of a moved machine.
+  std::map<std::string, TimePoint> m_surplusSince; ///< By shard.
+  std::map<std::string, TimePoint> m_arrivedAt;    ///< Latest arrival of a moved machine.
 };
 
 } // namespace mustardtray::job
--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -25,13 +25,13 @@
 {
   None,
   Unregistered,
-  NotFenced, ///< It has not answered this owner.
-  Unrecorded,
   Cordoned,
   Draining,
   MissedCall,
-  Paused,
   Suspicious,
+  NotFenced, ///< It has not answered this owner.
+  Unrecorded,
+  Paused,
   Cpu,
   Memory,
   Gpu,
--- a/include/mustardtray/job/PlacementForecast.h
+++ b/include/mustardtray/job/PlacementForecast.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/PoolState.h"
 
 namespace mustardtray::job {
@@ -27,11 +28,12 @@
   std::string m_requiredLabel;
   std::uint32_t m_maxPerMinion = 0; ///< 0: no limit.
   std::uint32_t m_count = 0;
+  bool m_isGang = false; ///< Machines for a part of the units would be of no use.
 };
 
 struct PlacementForecast
 {
-  /// Minions that have or would get long-running units or members of a gang.
+  /// Minions that have or would get long-running units or members of a gang that fits as a whole.
   std::set<std::string> m_hosts;
   std::vector<UnplacedUnits> m_unplaced;
 };
@@ -43,10 +45,7 @@
                                     const std::vector<WaitingUnits>& aWaiting,
                                     TimePoint aNow);
 
-/// Removes the units that an empty machine can hold; returns whether there were any. aLabels: of
-/// the machine, or nullptr when it counts as having every label.
-bool TakeUnitsFor(const Resources& aCapacity,
-                  const std::vector<std::string>* aLabels,
-                  std::vector<UnplacedUnits>& aUnplaced);
+/// Removes the units that an empty machine can hold; returns whether there were any.
+bool TakeUnitsFor(const Machine& aMachine, std::vector<UnplacedUnits>& aUnplaced);
 
 } // namespace mustardtray::job
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -52,6 +52,7 @@
   std::size_t m_spreadMinions = 0;       ///< Needed to spread the widest long-running step.
   std::size_t m_minions = 0;             ///< Registered minions that are not cordoned.
   std::size_t m_hostMinions = 0;         ///< See PlacementForecast::m_hosts.
+  Millis m_ownerAge{ 0 };                ///< Time since the owner took over the pool.
   std::vector<UnplacedUnits> m_unplaced; ///< Waiting units that fit on no minion of the pool.
 };
 
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -32,6 +32,8 @@
     m_machines.emplace(machine.m_name, std::move(machine));
   }
   m_listedAt = aAskedAt;
+  std::erase_if(m_arrivedAt,
+                [&](const auto& aEntry) { return aAskedAt - aEntry.second > kMinionArrivalTime; });
 }
 
 void FleetPlanner::AddWave(const WaveRequest& aRequest, std::set<std::string> aBegun)
@@ -44,11 +46,6 @@
 
 void FleetPlanner::SetReport(const std::string& aPool, PoolReport aReport)
 {
-  if (aReport.m_load.m_unplaced.empty()) {
-    m_unplacedSince.erase(aPool);
-  } else {
-    m_unplacedSince.emplace(aPool, aReport.m_reportedAt);
-  }
   m_reports[aPool] = std::move(aReport);
 }
 
--- a/src/job/FleetPlannerMoves.cpp
+++ b/src/job/FleetPlannerMoves.cpp
@@ -19,56 +19,51 @@
 /// Surplus machines go back to the spare pool after this time. An idle machine costs as much as a
 /// move there and back in about two seconds.
 constexpr Millis kSurplusDelay{ 600 };
-/// Time until a shard's owner knows the minion of a machine that is up.
-constexpr Millis kMinionArrivalTime{ 2'500 };
 /// A move is given up when its machine still has work after this time.
 constexpr Millis kMoveTimeout{ 1'500 };
 
 } // namespace
 
-std::size_t FleetPlanner::ArrivingMachines(const std::string& aShard,
-                                           std::size_t aMachines,
-                                           std::size_t aMoving,
-                                           TimePoint aNow) const
+std::map<std::string, FleetPlanner::ShardMachines> FleetPlanner::MachinesByShard(
+  TimePoint aNow) const
 {
-  const std::size_t known = m_reports.at(aShard).m_load.m_minions;
-  const std::size_t unknown = aMachines > known ? aMachines - known : 0;
-  const auto since = m_unplacedSince.find(aShard);
-  // A new owner reads the registrations of its minions only after it has loaded the shard.
-  const bool isOwnerNew =
-    since != m_unplacedSince.end() && aNow - since->second < kMinionArrivalTime;
-  return isOwnerNew ? unknown : std::min(unknown, aMoving);
+  // A machine that is moved from the spare pool would not be there earlier.
+  const bool isMaintenanceShort = m_times.m_maintenanceTime <= 2 * m_times.m_moveTime;
+  std::map<std::string, ShardMachines> shards;
+  for (const auto& [name, machine] : m_machines) {
+    if (machine.m_state == MachineState::Down) {
+      continue;
+    }
+    const auto order = m_doneOrders.find(name);
+    const bool isMoving = HasActiveOrder(name, aNow) && !order->second.m_movedTo.empty();
+    const auto arrival = m_arrivedAt.find(name);
+    const bool hasJustArrived =
+      arrival != m_arrivedAt.end() && aNow - arrival->second < kMinionArrivalTime;
+    const bool isArriving = isMoving || hasJustArrived || machine.m_state == MachineState::Moving ||
+                            (machine.m_state == MachineState::Maintenance && isMaintenanceShort);
+    ShardMachines& shard =
+      shards[isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine)];
+    shard.m_machines.push_back(&machine);
+    if (isArriving) {
+      std::swap(shard.m_machines.back(), shard.m_machines[shard.m_arriving++]);
+    }
+  }
+  return shards;
 }
 
 std::vector<ShardBalance> FleetPlanner::Balances(const Deployment& aDeployment,
                                                  TimePoint aNow) const
 {
-  Resources capacity;
-  std::map<std::string, std::size_t> counts;
-  std::map<std::string, std::size_t> moving;
+  std::int64_t cpu = 0;
   for (const auto& [name, machine] : m_machines) {
-    capacity += machine.m_capacity;
-    const auto order = m_doneOrders.find(name);
-    const bool isMoving = HasActiveOrder(name, aNow) && !order->second.m_movedTo.empty();
-    if (machine.m_state != MachineState::Down) {
-      const std::string shard =
-        isMoving ? m_shards.Of(order->second.m_movedTo, name) : ShardOf(machine);
-      const auto arrival = m_arrivedAt.find(name);
-      const bool hasJustArrived =
-        arrival != m_arrivedAt.end() && aNow - arrival->second < kMinionArrivalTime;
-      ++counts[shard];
-      moving[shard] += isMoving || hasJustArrived || machine.m_state != MachineState::Up ? 1 : 0;
-    }
+    cpu += machine.m_capacity.m_cpu;
   }
+  std::map<std::string, ShardMachines> machinesByShard = MachinesByShard(aNow);
   std::vector<ShardBalance> balances;
-  if (m_machines.empty() || capacity.m_cpu == 0) {
+  if (m_machines.empty() || cpu == 0) {
     return balances;
   }
-  const auto count = static_cast<std::int64_t>(m_machines.size());
-  const Resources meanCapacity{ capacity.m_cpu / count,
-                                capacity.m_memoryMb / count,
-                                capacity.m_gpu / count };
-  const auto machineCpu = static_cast<double>(meanCapacity.m_cpu);
+  const double machineCpu = static_cast<double>(cpu) / static_cast<double>(m_machines.size());
   std::vector<std::string> shards;
   for (const PoolSpec& pool : aDeployment.m_pools) {
     const std::vector<std::string> names = m_shards.Names(pool.m_name);
@@ -87,7 +82,8 @@
     const double need = (static_cast<double>(load.m_longRunningCpu) + batch) / machineCpu;
     ShardBalance balance;
     balance.m_shard = shard;
-    balance.m_machines = counts[shard];
+    const ShardMachines& machines = machinesByShard[shard];
+    balance.m_machines = machines.m_machines.size();
     balance.m_wantedMachines = std::max({ static_cast<std::size_t>(std::ceil(need)),
                                           load.m_spreadMinions,
                                           load.m_hostMinions,
@@ -98,9 +94,16 @@
       balance.m_wantedMachines = std::max(balance.m_wantedMachines, balance.m_machines + 1);
     }
     balance.m_unplaced = load.m_unplaced;
-    for (std::size_t i = ArrivingMachines(shard, balance.m_machines, moving[shard], aNow); i > 0;
-         --i) {
-      TakeUnitsFor(meanCapacity, nullptr, balance.m_unplaced);
+    const std::size_t unknown =
+      balance.m_machines > load.m_minions ? balance.m_machines - load.m_minions : 0;
+    const std::size_t arriving =
+      load.m_ownerAge < kMinionArrivalTime ? unknown : std::min(unknown, machines.m_arriving);
+    for (std::size_t i = 0; i < arriving; ++i) {
+      TakeUnitsFor(*machines.m_machines[i], balance.m_unplaced);
+    }
+    if (arriving > 0 && !load.m_unplaced.empty()) {
+      // The idle machines of the shard may be needed together with those that arrive.
+      balance.m_wantedMachines = std::max(balance.m_wantedMachines, balance.m_machines);
     }
     balances.push_back(balance);
   }
@@ -152,10 +155,18 @@
     const Machine& machine = m_machines.at(aName);
     const bool isOfShard =
       m_shards.Of(ShardMap::PoolOf(aReceiver.m_shard), aName) == aReceiver.m_shard;
-    return isOfShard && TakeUnitsFor(machine.m_capacity, &machine.m_labels, aReceiver.m_unplaced);
+    return isOfShard && TakeUnitsFor(machine, aReceiver.m_unplaced);
   };
   for (ShardBalance& receiver : aBalances) {
     const std::string pool = ShardMap::PoolOf(receiver.m_shard);
+    // A part of a gang would only keep machines from others.
+    std::erase_if(receiver.m_unplaced, [&](const UnplacedUnits& aUnits) {
+      ShardBalance gang{ receiver.m_shard, 0, 0, { aUnits } };
+      for (const std::string& name : aSpareMachines) {
+        takeUnits(gang, name);
+      }
+      return aUnits.m_isGang && !gang.m_unplaced.empty();
+    });
     for (auto name = aSpareMachines.begin();
          name != aSpareMachines.end() && !receiver.m_unplaced.empty();) {
       if (!takeUnits(receiver, *name)) {
@@ -206,7 +217,10 @@
   std::vector<ShardBalance> balances = Balances(aDeployment, aNow);
   for (ShardBalance& balance : balances) {
     for (const auto& [name, move] : m_pendingMoves) {
-      balance.m_machines += move.m_to == balance.m_shard ? 1 : 0;
+      if (move.m_to == balance.m_shard) {
+        ++balance.m_machines;
+        TakeUnitsFor(m_machines.at(name), balance.m_unplaced);
+      }
       balance.m_machines -= move.m_from == balance.m_shard && balance.m_machines > 0 ? 1 : 0;
     }
   }
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -53,12 +53,6 @@
   if (!aMinion.m_isRegistered) {
     return PlacementObstacle::Unregistered;
   }
-  if (!aMinion.m_isFenced) {
-    return PlacementObstacle::NotFenced;
-  }
-  if (!aMinion.m_isRecorded) {
-    return PlacementObstacle::Unrecorded;
-  }
   if (aMinion.m_isCordoned) {
     return PlacementObstacle::Cordoned;
   }
@@ -68,12 +62,19 @@
   if (aMinion.m_missedCalls >= kMaxMissedCalls) {
     return PlacementObstacle::MissedCall;
   }
-  if (aNow < aMinion.m_pausedUntil) {
-    return PlacementObstacle::Paused;
-  }
   if (IsSuspicious(aMinion) && (!aMinion.m_runs.empty() || aNow < aMinion.m_probeAt)) {
     return PlacementObstacle::Suspicious;
   }
+  // These obstacles pass by themselves within a short time; see ForecastPlacement().
+  if (!aMinion.m_isFenced) {
+    return PlacementObstacle::NotFenced;
+  }
+  if (!aMinion.m_isRecorded) {
+    return PlacementObstacle::Unrecorded;
+  }
+  if (aNow < aMinion.m_pausedUntil) {
+    return PlacementObstacle::Paused;
+  }
   return PlacementObstacle::None;
 }
 
--- a/src/job/PlacementForecast.cpp
+++ b/src/job/PlacementForecast.cpp
@@ -105,35 +105,40 @@
         });
       if (!isPossible) {
         forecast.m_unplaced.push_back(
-          { step.Reserved(), step.m_requiredLabel, step.m_maxPerMinion, 1 });
+          { step.Reserved(), step.m_requiredLabel, step.m_maxPerMinion, 1, false });
       }
       continue;
     }
+    std::vector<ForecastMinion> placed = minions;
+    std::set<std::string> hosts;
     std::uint32_t remaining = units.m_count;
-    for (ForecastMinion& minion : minions) {
+    for (ForecastMinion& minion : placed) {
       for (; remaining > 0 && CanHold(minion, units); --remaining) {
         AddUnit(minion, units);
-        forecast.m_hosts.insert(minion.m_minion->m_entry.m_id);
+        hosts.insert(minion.m_minion->m_entry.m_id);
       }
     }
+    if (remaining == 0 || !step.m_isGang) {
+      minions = std::move(placed);
+      forecast.m_hosts.merge(hosts);
+    }
     if (remaining > 0) {
       forecast.m_unplaced.push_back(
-        { step.Reserved(), step.m_requiredLabel, step.m_maxPerMinion, remaining });
+        { step.Reserved(), step.m_requiredLabel, step.m_maxPerMinion, remaining, step.m_isGang });
     }
   }
   return forecast;
 }
 
-bool TakeUnitsFor(const Resources& aCapacity,
-                  const std::vector<std::string>* aLabels,
-                  std::vector<UnplacedUnits>& aUnplaced)
+bool TakeUnitsFor(const Machine& aMachine, std::vector<UnplacedUnits>& aUnplaced)
 {
-  Resources free = aCapacity;
+  Resources free = aMachine.m_capacity;
+  const std::vector<std::string>& labels = aMachine.m_labels;
   bool hasTaken = false;
   for (UnplacedUnits& units : aUnplaced) {
     const bool hasLabel =
-      units.m_requiredLabel.empty() || !aLabels ||
-      std::find(aLabels->begin(), aLabels->end(), units.m_requiredLabel) != aLabels->end();
+      units.m_requiredLabel.empty() ||
+      std::find(labels.begin(), labels.end(), units.m_requiredLabel) != labels.end();
     std::uint32_t taken = 0;
     while (hasLabel && units.m_count > 0 && free.Fits(units.m_need) &&
            (units.m_maxPerMinion == 0 || taken < units.m_maxPerMinion)) {
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -46,6 +46,7 @@
   }
   PlacementForecast forecast = ForecastWaiting(aNow);
   load.m_hostMinions = forecast.m_hosts.size();
+  load.m_ownerAge = std::chrono::duration_cast<Millis>(aNow - m_beganAt);
   load.m_unplaced = std::move(forecast.m_unplaced);
   load.m_unplaced.resize(std::min(load.m_unplaced.size(), kMaxUnplacedSteps));
   for (const Job* job : m_activeJobs) {
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -161,7 +161,8 @@
                          { "gpu", units.m_need.m_gpu },
                          { "label", units.m_requiredLabel },
                          { "per-minion", units.m_maxPerMinion },
-                         { "count", units.m_count } });
+                         { "count", units.m_count },
+                         { "gang", units.m_isGang } });
   }
   return json{
     { "capacity", aReport.m_load.m_capacityCpu },
@@ -174,6 +175,7 @@
     { "lacks-memory", aReport.m_load.m_lacksMemory },
     { "minions", aReport.m_load.m_minions },
     { "hosts", aReport.m_load.m_hostMinions },
+    { "age-ms", aReport.m_load.m_ownerAge.count() },
     { "unplaced", std::move(unplaced) },
     { "clear", aReport.m_drainedMachines },
     { "idle", aReport.m_idleMachines }
@@ -195,6 +197,7 @@
     // A node of an earlier release does not send these.
     report.m_load.m_minions = aIn.value("minions", std::size_t{ 0 });
     report.m_load.m_hostMinions = aIn.value("hosts", std::size_t{ 0 });
+    report.m_load.m_ownerAge = Millis(aIn.value("age-ms", Millis::rep{ 0 }));
     for (const json& in : aIn.value("unplaced", json::array())) {
       job::UnplacedUnits units;
       units.m_need = { in.at("cpu").get<std::int64_t>(),
@@ -204,6 +207,7 @@
       units.m_maxPerMinion = in.at("per-minion").get<std::uint32_t>();
       units.m_count = std::min(in.at("count").get<std::uint32_t>(),
                                static_cast<std::uint32_t>(job::kMaxUnitsPerJob));
+      units.m_isGang = in.at("gang").get<bool>();
       report.m_load.m_unplaced.push_back(std::move(units));
     }
     report.m_drainedMachines = aIn.at("clear").get<std::vector<std::string>>();
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -40,7 +40,7 @@
         step.m_name,
         "units",
         step.m_units,
-        "lasting",
+        "long-running",
         step.m_isLongRunning,
         "recovering",
         step.m_waitsForRecovery,
--- a/tests/job/LongRunningPlacementTest.cpp
+++ b/tests/job/LongRunningPlacementTest.cpp
@@ -16,6 +16,15 @@
 constexpr Millis kStartTime{ 300 };
 constexpr std::size_t kMachines = 60;
 
+JobRecord MakeLongRunningJob(const std::string& aId, std::uint32_t aUnits, std::int64_t aMemoryMb)
+{
+  JobRecord job = MakeJob(aId, aUnits, 9'000);
+  job.m_spec.m_steps[0].m_isLongRunning = true;
+  job.m_spec.m_steps[0].m_need.m_memoryMb = aMemoryMb;
+  job.m_spec.m_steps[0].m_maxPerMinion = 1;
+  return job;
+}
+
 /// A pool and the spare pool, with machines that are moved as the planner orders. Minions answer
 /// unless they are silent.
 struct MovingFleet : PoolFixture
@@ -158,6 +167,32 @@
     }
   }
 
+  /// Loads two long-running jobs of an earlier owner whose runs have all ended. A minion holds
+  /// either a unit of the first job, or one unit of the second. Some minions are silent.
+  void TakeOver(std::size_t aSilentMinions, TimePoint aLeaseEnd)
+  {
+    RegisterAll();
+    for (auto& [name, machine] : m_machines) {
+      if (machine.m_hasMinion) {
+        m_pool.AwaitMinion(MinionOf(machine), aLeaseEnd);
+        m_pool.Minions().at(MinionOf(machine)).m_leaseEnd = aLeaseEnd;
+        machine.m_isSilent = aSilentMinions > 0;
+        aSilentMinions -= aSilentMinions > 0 ? 1 : 0;
+      }
+    }
+    REQUIRE(
+      m_pool.LoadJob(MakeLongRunningJob("aaaaaaaaaaaaaaaa", 13, 200'000), "", m_now, m_wallNow));
+    REQUIRE(
+      m_pool.LoadJob(MakeLongRunningJob("bbbbbbbbbbbbbbbb", 19, 100'000), "", m_now, m_wallNow));
+  }
+
+  void EndSilence()
+  {
+    for (auto& [name, machine] : m_machines) {
+      machine.m_isSilent = false;
+    }
+  }
+
   std::size_t RunningUnits() const
   {
     std::size_t units = 0;
@@ -176,48 +211,44 @@
   }
 };
 
-JobRecord MakeLongRunningJob(const std::string& aId, std::uint32_t aUnits, std::int64_t aMemoryMb)
-{
-  JobRecord job = MakeJob(aId, aUnits, 9'000);
-  job.m_spec.m_steps[0].m_isLongRunning = true;
-  job.m_spec.m_steps[0].m_need.m_memoryMb = aMemoryMb;
-  job.m_spec.m_steps[0].m_maxPerMinion = 1;
-  return job;
-}
-
 } // namespace
 
 TEST_CASE("long-running units of two jobs run again after a takeover when their memory keeps them "
           "off the same minions")
 {
   // Regression test for LOST on the large day 'mix' with seed 86801912713: the planner wanted as
-  // many machines as the widest step has units, took the others away while their units waited for
-  // the end of the recovery, and brought no more.
+  // many machines as the widest step has units, took the others away while their units waited, and
+  // brought no more.
   MovingFleet fleet(35);
-  const TimePoint longestLease = fleet.m_now + Millis(10'600);
-  std::size_t index = 0;
-  for (auto& [name, machine] : fleet.m_machines) {
-    if (machine.m_machine.m_pool == "pool") {
-      fleet.m_pool.AwaitMinion(MovingFleet::MinionOf(machine), longestLease);
-      machine.m_isSilent = index++ < 7;
-    }
-  }
-  fleet.RegisterAll();
-  // A minion of 256,000 MB holds either a unit of the first job, or one unit of the second.
-  for (const JobRecord& job : { MakeLongRunningJob("aaaaaaaaaaaaaaaa", 13, 200'000),
-                                MakeLongRunningJob("bbbbbbbbbbbbbbbb", 19, 100'000) }) {
-    REQUIRE(fleet.m_pool.LoadJob(job, "", fleet.m_now, fleet.m_wallNow));
-  }
+  fleet.TakeOver(7, {});
   fleet.Run(Millis(3'000));
-  for (auto& [name, machine] : fleet.m_machines) {
-    machine.m_isSilent = false;
-  }
+  fleet.EndSilence();
   fleet.Run(Millis(6'000));
   CHECK(fleet.RunningUnits() == 32);
-  // Units that have no minion while seven are silent bring four machines, and no more.
+  // Four of the units have no minion while seven are silent.
   CHECK(fleet.MachinesInPool() <= 39);
 }
 
+TEST_CASE("machines whose units wait for the end of a recovery stay in their pool")
+{
+  MovingFleet fleet(35);
+  fleet.TakeOver(7, fleet.m_now + Millis(10'600));
+  fleet.Run(Millis(3'000));
+  CHECK(fleet.RunningUnits() == 0);
+  CHECK(fleet.MachinesInPool() >= 32);
+  fleet.EndSilence();
+  fleet.Run(Millis(6'000));
+  CHECK(fleet.RunningUnits() == 32);
+}
+
+TEST_CASE("machines whose minions stay silent after a recovery are replaced")
+{
+  MovingFleet fleet(35);
+  fleet.TakeOver(7, fleet.m_now + Millis(4'000));
+  fleet.Run(Millis(10'000));
+  CHECK(fleet.RunningUnits() == 32);
+}
+
 TEST_CASE("units of a label get a machine with it while the pool has idle machines without it")
 {
   MovingFleet fleet(0);
@@ -248,6 +279,19 @@
   CHECK(fleet.RunningUnits() == 12);
 }
 
+TEST_CASE("a gang that is larger than the fleet keeps no machines")
+{
+  MovingFleet fleet(5);
+  fleet.RegisterAll();
+  fleet.Run(Millis(500));
+  JobRecord job = MakeJob("aaaaaaaaaaaaaaaa", 70, 60'000);
+  job.m_spec.m_steps[0].m_isGang = true;
+  job.m_spec.m_steps[0].m_estimate = Millis(100);
+  fleet.m_pool.AddJob(job, fleet.m_now, false);
+  fleet.Run(Millis(6'000));
+  CHECK(fleet.MachinesInPool() <= 5);
+}
+
 TEST_CASE("a machine whose minion never registers is replaced for units that wait for it")
 {
   // One of three machines of the pool is listed as up and runs no minion.
