Placement: a suspicious minion with long-running units gets probes

Two failures of different jobs, or two refusals as unhealthy, make a minion suspicious until a unit on it ends as done; until then it gets one unit at a time, and only when nothing runs on it. A long-running unit never ends as done, so a minion that kept one got no other unit until it restarted: units that last did not run again, with room for them.

Long-running units that are at work no longer keep the probe away. A minion without other runs gets one unit at a time when its probe is due.

--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -1,5 +1,7 @@
 #include "mustardtray/job/Placement.h"
 
+#include <algorithm>
+
 namespace mustardtray::job {
 
 namespace {
@@ -17,6 +19,18 @@
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
 
+/// Whether the minion has a run that may still show whether the minion works. Long-running units do
+/// not end as done; that they are at work shows it.
+bool HasUnprovenRun(const MinionState& aMinion)
+{
+  return std::any_of(aMinion.m_runs.begin(), aMinion.m_runs.end(), [](const auto& aEntry) {
+    constexpr int kAtWorkPercent = 100;
+    const Run& run = aEntry.second;
+    return !run.m_isLongRunning || run.m_phase != RunPhase::Running ||
+           run.m_percent < kAtWorkPercent;
+  });
+}
+
 int CountUnitsOfStep(const MinionState& aMinion, const std::string& aPrefix)
 {
   int count = 0;
@@ -71,7 +85,7 @@
   if (aNow < aMinion.m_pausedUntil) {
     return PlacementObstacle::Paused;
   }
-  if (IsSuspicious(aMinion) && (!aMinion.m_runs.empty() || aNow < aMinion.m_probeAt)) {
+  if (IsSuspicious(aMinion) && (HasUnprovenRun(aMinion) || aNow < aMinion.m_probeAt)) {
     return PlacementObstacle::Suspicious;
   }
   return PlacementObstacle::None;
