Minion session: keeps calling a minion that is registered again

When a registration expired while the node's lease was invalid (an outage of the store, a cut) or within the delay of a decision, a call or answer of the session found no minion and scheduled no further call. The session stayed, as the owner makes no decision then, and the next registration of the same minion found it: the minion was never called again, stayed without a fence and got no work.

The session now calls again after the retry delay. The owner still ends it with its next decision when the minion has not come back.

tests/node/PoolOwnerTest.cpp: "a minion that is registered again while the node has no lease is called again" failed before (one call, not usable within 3 s).

--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -84,6 +84,8 @@
   }
   const auto found = m_owner.m_scheduler.Minions().find(m_minion);
   if (found == m_owner.m_scheduler.Minions().end()) {
+    // The owner ends this session with its next decision, unless the minion is registered again.
+    ScheduleHold(kRetryDelay);
     return;
   }
   const job::MinionState& minion = found->second;
@@ -190,6 +192,7 @@
   }
   const auto found = m_owner.m_scheduler.Minions().find(m_minion);
   if (found == m_owner.m_scheduler.Minions().end()) {
+    ScheduleHold(kRetryDelay); // The owner made no decision, for lack of a lease.
     return;
   }
   const std::uint64_t seenEnd = found->second.m_lastProcessedEnd;
--- /dev/null
+++ b/tests/node/PoolOwnerTest.cpp
@@ -0,0 +1,129 @@
+#include "node/PoolOwner.h"
+
+#include <optional>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "standin/StandinServer.h"
+#include "tests/node/NodeFixture.h"
+#include "tests/soak/RowStoreStandin.h"
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+namespace {
+
+constexpr const char* kPool = "pool";
+constexpr const char* kMinion = "minion";
+
+/// The owner of a pool, beside a stand-in of a minion without runs that answers late.
+struct PoolOwnerFixture
+{
+  static constexpr Millis kAnswerDelay{ 150 };
+  static constexpr Millis kLease{ 60'000 };
+
+  PoolOwnerFixture()
+    : m_store(m_io, m_timers)
+    , m_node(m_io, m_timers, MakeSettings(m_store.Port()))
+    , m_minionServer(m_io,
+                     "127.0.0.1",
+                     0,
+                     [this](const std::shared_ptr<StandinExchange>& aExchange) {
+                       ++m_minionCalls;
+                       m_answerTimer = m_timers.After(kAnswerDelay, [aExchange] {
+                         aExchange->SendResponse(JsonResponse(
+                           200, R"({"clock_ms":5000,"born":1,"running":[],"ended":[]})"));
+                       });
+                     })
+  {
+    REQUIRE(m_minionServer.Listen().has_value());
+    m_node.m_context.m_lease.Extend(LeaseClockNow() + kLease);
+    m_claim.m_pool = kPool;
+    m_claim.m_node = "self";
+    platform::Transaction transaction;
+    transaction.m_writes.push_back(
+      { { kOwnerTable, kPool, kSingleRowKey }, job::EncodeOwnerRow(m_claim) });
+    m_node.m_store.Commit(
+      transaction, Millis(1'000), [this](Result<platform::TransactionResult> aResult) {
+        REQUIRE(aResult.has_value());
+        m_claim.m_version = aResult.value().m_version;
+      });
+    RunUntil([this] { return m_claim.m_version > 0; });
+    m_owner.emplace(m_node.m_context, m_claim, [] {});
+    RunUntil([this] { return m_owner->IsAuthoritative(); });
+  }
+
+  static platform::NodeSettings MakeSettings(std::uint16_t aPort)
+  {
+    platform::NodeSettings settings;
+    settings.m_nodeName = "self";
+    settings.m_store = { "127.0.0.1", aPort };
+    return settings;
+  }
+
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, Millis aTime = Millis(3'000))
+  {
+    const TimePoint end = MonotonicNow() + aTime;
+    while (MonotonicNow() < end && !aCondition()) {
+      m_io.run_for(Millis(5));
+    }
+    return aCondition();
+  }
+
+  job::MinionEntry MinionEntry() const
+  {
+    job::MinionEntry entry;
+    entry.m_id = kMinion;
+    entry.m_pool = kPool;
+    entry.m_machine = "machine";
+    entry.m_startedAtMs = 1;
+    entry.m_address = fmt::format("127.0.0.1:{}", m_minionServer.Port());
+    entry.m_capacity = { 1'000, 1'000, 0 };
+    return entry;
+  }
+
+  /// Whether the minion has answered the owner, and the store has its row.
+  bool IsUsable() const
+  {
+    const job::MinionTable& minions = m_owner->Scheduler().Minions();
+    const auto found = minions.find(kMinion);
+    return found != minions.end() && job::AcceptsWork(found->second, LeaseClockNow());
+  }
+
+  asio::io_context m_io;
+  TimerService m_timers{ m_io };
+  soak::RowStoreStandin m_store;
+  NodeFixture m_node;
+  job::OwnerRow m_claim;
+  TimerHandle m_answerTimer;
+  int m_minionCalls = 0;
+  StandinServer m_minionServer;
+  std::optional<PoolOwner> m_owner;
+};
+
+} // namespace
+
+TEST_CASE("a registered minion that has answered can be used")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  CHECK(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+}
+
+TEST_CASE("a minion that is registered again while the node has no lease is called again")
+{
+  // The registration expires while a call to the minion is pending and the node's lease has ended.
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.m_minionCalls == 1; }));
+  fixture.m_node.m_context.m_lease.Revoke();
+  fixture.m_owner->OnMinionRemoved(kMinion);
+  REQUIRE(fixture.m_owner->Scheduler().Minions().empty());
+  fixture.m_io.run_for(2 * PoolOwnerFixture::kAnswerDelay);
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  fixture.m_node.m_context.m_lease.Extend(LeaseClockNow() + PoolOwnerFixture::kLease);
+  CHECK(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  CHECK(fixture.m_minionCalls > 1);
+}
