Minion directory: a minion leaves its shard when its row names another

A minion's shard follows from its pool and its machine, but only a change of the pool removed it from the former shard's owner. A row without the machine, or with another one, was passed to a second shard, and both owners kept calling the minion: the one with the lower fencing token got only refusals, so its shard could not use the minion, and its runs there lapsed.

The directory compares the shards.

tests/node/MinionDirectoryTest.cpp: "a minion whose row names another machine leaves its former shard" failed before (the former owner kept the minion).

--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -52,7 +52,7 @@
   const auto known = m_minions.find(aEntry.m_id);
   const bool isNewIncarnation =
     known == m_minions.end() || known->second.m_startedAtMs != aEntry.m_startedAtMs;
-  if (known != m_minions.end() && known->second.m_pool != aEntry.m_pool) {
+  if (known != m_minions.end() && ShardOf(known->second) != ShardOf(aEntry)) {
     Remove(aEntry.m_id);
   }
   m_minions[aEntry.m_id] = aEntry;
