Pool owner: a removed row does not count as the record of a minion

The writes of one row that wait for a transaction are merged, and the merged write runs the callbacks of all. When a minion's session ended before the first write of its row was sent, the removal took that write's callback; a minion that was registered again meanwhile counted as recorded while the store had no row, until the second write was saved. A unit could start on it, and a successor would not have waited for the minion.

The callback ends with the session for which the row was written.

tests/node/PoolOwnerTest.cpp: "a minion whose row is removed does not count as recorded when it registers again" failed before (recorded after the first response, 331 ms, instead of the second).

--- a/src/node/MinionSession.h
+++ b/src/node/MinionSession.h
@@ -49,6 +49,8 @@
   MinionSession& operator=(const MinionSession&) = delete;
 
   const MinionClock& Clock() const { return m_clock; }
+  /// Expires when the session ends.
+  std::weak_ptr<int> Alive() const { return m_alive; }
   /// Called when the run ends up to this number are in the store.
   void OnRunEndsSaved(std::uint64_t aEndNumber);
   /// Time, in milliseconds of the minion's clock, up to which orders and leases that are sent now
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -254,11 +254,12 @@
   if (minion.m_isRecorded) {
     return;
   }
+  // The end of a session removes the row. A removal that replaces this write runs its callback.
   m_batchWriter.Put(kUsedMinionTable,
                     aId,
                     EncodeUsedMinion(minion.m_entry),
-                    [this, aId, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
-                      if (alive.expired() || aOutcome != WriteOutcome::Saved) {
+                    [this, aId, session = m_sessions.at(aId)->Alive()](WriteOutcome aOutcome) {
+                      if (session.expired() || aOutcome != WriteOutcome::Saved) {
                         return;
                       }
                       const auto found = m_scheduler.Minions().find(aId);
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -72,10 +72,10 @@
     return aCondition();
   }
 
-  job::MinionEntry MinionEntry() const
+  job::MinionEntry MinionEntry(const char* aId = kMinion) const
   {
     job::MinionEntry entry;
-    entry.m_id = kMinion;
+    entry.m_id = aId;
     entry.m_pool = kPool;
     entry.m_machine = "machine";
     entry.m_startedAtMs = 1;
@@ -92,6 +92,14 @@
     return found != minions.end() && job::AcceptsWork(found->second, LeaseClockNow());
   }
 
+  /// Whether the owner believes that the store has the minion's row.
+  bool IsRecorded(const char* aId) const
+  {
+    const job::MinionTable& minions = m_owner->Scheduler().Minions();
+    const auto found = minions.find(aId);
+    return found != minions.end() && found->second.m_isRecorded;
+  }
+
   asio::io_context m_io;
   TimerService m_timers{ m_io };
   soak::RowStoreStandin m_store;
@@ -127,3 +135,22 @@
   CHECK(fixture.RunUntil([&] { return fixture.IsUsable(); }));
   CHECK(fixture.m_minionCalls > 1);
 }
+
+TEST_CASE("a minion whose row is removed does not count as recorded when it registers again")
+{
+  // The removal replaces the row's first write before it is sent. The next write of the row follows
+  // the removal, so it takes two responses of the store.
+  constexpr Millis kTwoResponses{ 600 };
+  PoolOwnerFixture fixture;
+  fixture.m_store.SetFault(soak::StoreFault::Slow);
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry("other"));
+  fixture.m_io.run_for(Millis(50));
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  fixture.m_owner->OnMinionRemoved(kMinion);
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsRecorded("other"); }));
+  fixture.m_io.run_for(Millis(20));
+  const TimePoint registeredAt = MonotonicNow();
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsRecorded(kMinion); }));
+  CHECK(MonotonicNow() - registeredAt > kTwoResponses);
+}
