Membership: repeats the release of a pool that the store did not write

A node that stops writes its pools as released once. When the store refused that write or did not answer, the node gave up the pool all the same but kept renewing its row until it exited, so the other nodes believed that it still held the pool: for up to 4.8 s until the exit and the node timeout after it nobody extended the leases of the pool's runs. Units that last lapsed and did not run again in that time.

The write is repeated while the process runs, until the store has written or rejected it. The precondition on the claim's version keeps a successor's row.

tests/node/MembershipTest.cpp: "a pool whose release the store refused is released later" failed before (not released 1.5 s after the store was back); "a repeated release leaves the row of a successor" passes before and after.

--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -41,7 +41,7 @@
   TimePoint StoreAnsweredAt() const { return m_storeAnsweredAt; }
 
   /// Hands a pool over to another node. The callback runs when the write has ended, whether or not
-  /// it succeeded.
+  /// it succeeded. A write that failed is repeated while this node runs.
   void ReleasePool(const job::OwnerRow& aClaim, std::function<void(std::string aSuccessor)> aDone);
   /// Announces that this node is leaving; it claims no more pools.
   void StartLeaving();
@@ -76,6 +76,7 @@
   void ReclaimOwnPools();
   void EvictNode(const std::string& aNode);
   void ClaimPool(const std::string& aPool);
+  void RetryRelease(const job::OwnerRow& aClaim, const Error& aError);
   void OnEvicted(std::uint64_t aVersion);
   std::vector<std::string> PoolsToOwn() const;
   /// Whether the owner row carries this node's name and current incarnation.
@@ -102,6 +103,7 @@
   std::unique_ptr<TableFollower> m_ownerFollower;
   TimerHandle m_renewTimer;
   TimerHandle m_retryTimer;
+  std::map<std::string, TimerHandle> m_releaseTimers; ///< By pool whose release is repeated.
   Backoff m_backoff;
   TimerHandle m_decisionTimer;
 };
--- a/src/node/MembershipClaims.cpp
+++ b/src/node/MembershipClaims.cpp
@@ -17,6 +17,7 @@
 constexpr Millis kFirstClaimDelay{ 1'500 };
 /// All live nodes renew their rows within this time, so that a new view has all of them.
 constexpr Millis kCompleteViewTime{ 1'600 };
+constexpr Millis kReleaseRetryDelay{ 200 };
 
 } // namespace
 
@@ -226,10 +227,35 @@
   transaction.m_writes.push_back({ rowId, job::EncodeOwnerRow(row) });
   // Assigns the pool to its successor in the view, so that the next pool goes to another node.
   m_view.m_owners[aClaim.m_pool].m_node = row.m_successor;
-  m_context.m_store.Commit(transaction,
-                           kCallTimeout,
-                           [successor = row.m_successor, done = std::move(aDone)](
-                             Result<platform::TransactionResult>) { done(successor); });
+  m_context.m_store.Commit(
+    transaction,
+    kCallTimeout,
+    [this,
+     aClaim,
+     successor = row.m_successor,
+     done = std::move(aDone),
+     alive = std::weak_ptr<int>(m_alive)](Result<platform::TransactionResult> aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      if (!aResult) {
+        RetryRelease(aClaim, aResult.error());
+      }
+      done(successor);
+    });
+}
+
+void Membership::RetryRelease(const job::OwnerRow& aClaim, const Error& aError)
+{
+  Log(LogCategory::Membership,
+      LogLevel::Warning,
+      "pool-release-retry",
+      "pool",
+      aClaim.m_pool,
+      "error",
+      aError.Text());
+  m_releaseTimers[aClaim.m_pool] = m_context.m_timers.After(
+    kReleaseRetryDelay, [this, aClaim] { ReleasePool(aClaim, [](const std::string&) {}); });
 }
 
 } // namespace mustardtray::node
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -1,5 +1,6 @@
 #include "node/Membership.h"
 
+#include <map>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -68,12 +69,15 @@
 
   void StartMembership()
   {
-    m_membership = std::make_unique<Membership>(
-      m_node.m_context,
-      "127.0.0.1:1",
-      MembershipCallbacks{ [this](const job::OwnerRow& aClaim) { m_claimed.insert(aClaim.m_pool); },
-                           [](const std::string&) {},
-                           [] {} });
+    m_membership =
+      std::make_unique<Membership>(m_node.m_context,
+                                   "127.0.0.1:1",
+                                   MembershipCallbacks{ [this](const job::OwnerRow& aClaim) {
+                                                         m_claimed.insert(aClaim.m_pool);
+                                                         m_claims[aClaim.m_pool] = aClaim;
+                                                       },
+                                                        [](const std::string&) {},
+                                                        [] {} });
   }
 
   /// Runs until the pool is claimed, but at most for aTime.
@@ -85,11 +89,28 @@
     }
   }
 
+  /// Whether the store has the pool as released by its owner.
+  bool IsReleased()
+  {
+    bool isReleased = false;
+    m_node.m_store.Read(
+      { kOwnerTable, kPool, "" }, "", Millis(1'000), [&](Result<platform::RowPage> aPage) {
+        REQUIRE(aPage.has_value());
+        REQUIRE(aPage.value().m_rows.size() == 1);
+        const auto row = job::DecodeOwnerRow(kPool, aPage.value().m_rows[0].m_value);
+        REQUIRE(row.has_value());
+        isReleased = row.value().m_isReleased;
+      });
+    m_io.run_for(Millis(200));
+    return isReleased;
+  }
+
   asio::io_context m_io;
   TimerService m_timers{ m_io };
   soak::RowStoreStandin m_store;
   NodeFixture m_node;
   std::set<std::string> m_claimed;
+  std::map<std::string, job::OwnerRow> m_claims;
   std::unique_ptr<Membership> m_membership;
 };
 
@@ -117,3 +138,45 @@
   fixture.RunUntilClaimed(Millis(12'000));
   CHECK(fixture.m_claimed.contains(kPool));
 }
+
+TEST_CASE("a pool whose release the store refused is released later")
+{
+  // Other nodes do not claim a pool of a node that still renews its row.
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.RunUntilClaimed(Millis(12'000));
+  REQUIRE(fixture.m_claimed.contains(kPool));
+  fixture.m_membership->StartLeaving();
+  fixture.m_io.run_for(Millis(100));
+  fixture.m_store.SetFault(soak::StoreFault::Busy);
+  bool hasEnded = false;
+  fixture.m_membership->ReleasePool(fixture.m_claims.at(kPool),
+                                    [&](const std::string&) { hasEnded = true; });
+  fixture.m_io.run_for(Millis(300));
+  CHECK(hasEnded);
+  fixture.m_store.SetFault(soak::StoreFault::None);
+  fixture.m_io.run_for(Millis(1'500));
+  CHECK(fixture.IsReleased());
+}
+
+TEST_CASE("a repeated release leaves the row of a successor")
+{
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.RunUntilClaimed(Millis(12'000));
+  REQUIRE(fixture.m_claimed.contains(kPool));
+  const job::OwnerRow claim = fixture.m_claims.at(kPool);
+  fixture.m_membership->StartLeaving();
+  fixture.m_io.run_for(Millis(100));
+  fixture.m_store.SetFault(soak::StoreFault::Busy);
+  fixture.m_membership->ReleasePool(claim, [](const std::string&) {});
+  fixture.m_io.run_for(Millis(50));
+  job::OwnerRow successor = claim;
+  successor.m_node = "other";
+  successor.m_incarnation = "other-1";
+  fixture.m_store.PutWithoutHistory(
+    kOwnerTable, kPool, kSingleRowKey, job::EncodeOwnerRow(successor));
+  fixture.m_store.SetFault(soak::StoreFault::None);
+  fixture.m_io.run_for(Millis(1'500));
+  CHECK_FALSE(fixture.IsReleased());
+}
