Membership: a claim that is written after its node began to leave is released

A node that was stopped while its claim of a pool was on the way to the store, or whose claim was answered late, ignored the claim, as a leaving node takes no pools. The owner row named it all the same, and as it renews its row until it exits, no other node claimed the pool: for up to 4.8 s and the node timeout after it nobody extended the leases of the pool's runs. Successors of a rolling restart are stopped like that when it reaches them next.

A leaving node releases pools whose owner row names it without its owning them.

tests/node/MembershipTest.cpp: "a claim that is written after its node began to leave is released" failed before (not released after 1.5 s).

--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -76,6 +76,8 @@
   void ReclaimOwnPools();
   void EvictNode(const std::string& aNode);
   void ClaimPool(const std::string& aPool);
+  /// Releases pools whose claim by this node was written after it began to leave.
+  void ReleaseLateClaims();
   void RetryRelease(const job::OwnerRow& aClaim, const Error& aError);
   void OnEvicted(std::uint64_t aVersion);
   std::vector<std::string> PoolsToOwn() const;
--- a/src/node/MembershipClaims.cpp
+++ b/src/node/MembershipClaims.cpp
@@ -71,6 +71,9 @@
   if (!m_isRegistered || !HasOwnerView() || isStale || !m_context.m_lease.IsValid()) {
     return;
   }
+  if (m_view.m_selfIsLeaving) {
+    ReleaseLateClaims();
+  }
   if (m_nodesFollowedSince == TimePoint{} || now - m_nodesFollowedSince < kCompleteViewTime) {
     ReclaimOwnPools();
     return;
@@ -245,6 +248,21 @@
     });
 }
 
+void Membership::ReleaseLateClaims()
+{
+  std::vector<job::OwnerRow> claims;
+  for (const auto& [pool, owner] : m_view.m_owners) {
+    if (IsOwnedByThisNode(owner) && !owner.m_isReleased && !m_ownedPools.contains(pool) &&
+        !m_pendingOwnershipWrites.contains(pool)) {
+      claims.push_back(owner);
+    }
+  }
+  for (const job::OwnerRow& claim : claims) {
+    Log(LogCategory::Membership, LogLevel::Info, "late-claim-released", "pool", claim.m_pool);
+    ReleasePool(claim, [](const std::string&) {});
+  }
+}
+
 void Membership::RetryRelease(const job::OwnerRow& aClaim, const Error& aError)
 {
   Log(LogCategory::Membership,
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -180,3 +180,20 @@
   fixture.m_io.run_for(Millis(1'500));
   CHECK_FALSE(fixture.IsReleased());
 }
+
+TEST_CASE("a claim that is written after its node began to leave is released")
+{
+  // The claim was sent before, and its response is late or lost.
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.m_io.run_for(Millis(500));
+  fixture.m_membership->StartLeaving();
+  fixture.m_io.run_for(Millis(100));
+  job::OwnerRow claim;
+  claim.m_node = "self";
+  claim.m_incarnation = "self-1";
+  fixture.Commit(kOwnerTable, kPool, job::EncodeOwnerRow(claim));
+  fixture.m_io.run_for(Millis(1'500));
+  CHECK(fixture.IsReleased());
+  CHECK(fixture.m_claimed.empty());
+}
