Job: a minion over its capacity hides no free cores from admission

Callers saw 429 for jobs that other minions had room for. The cores available to a new job are summed over the minions, less what lasting units reserve. A minion whose capacity has shrunk below its lasting units counted negative, and took that from the others.

Each minion counts at least zero. The new case (16 cores in use on a minion that shrank to 2, 8 free cores on another) was refused before and is accepted now.

--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -167,11 +167,12 @@
   input.m_sinceFirstAttempt = aSinceFirstAttempt;
   for (const auto& [id, minion] : m_minions) {
     if (AcceptsWork(minion, aNow)) {
-      input.m_availableCores += static_cast<double>(minion.m_entry.m_capacity.m_cpu) / 1'000.0;
+      std::int64_t cpu = minion.m_entry.m_capacity.m_cpu;
       for (const auto& [name, run] : minion.m_runs) {
-        input.m_availableCores -=
-          run.m_isLongRunning ? static_cast<double>(run.m_reserved.m_cpu) / 1'000.0 : 0.0;
+        cpu -= run.m_isLongRunning ? run.m_reserved.m_cpu : 0;
       }
+      // A minion whose capacity has shrunk may run more than it has room for.
+      input.m_availableCores += static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1'000.0;
     }
   }
   const Millis criticalPath = Scaled(CriticalPath(LongestPathsFrom(aRecord.m_spec)), factor);
--- a/tests/job/CapacityChangeTest.cpp
+++ b/tests/job/CapacityChangeTest.cpp
@@ -216,3 +216,16 @@
   fixture.m_pool.UpdateMinion(entry, fixture.m_now);
   CHECK(fixture.StartAll().size() == 1);
 }
+
+TEST_CASE("a minion over its capacity does not hide the free capacity of others from admission")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a", 16'000);
+  JobRecord lasting = MakeJob("lasting", 1, 16'000);
+  lasting.m_spec.m_steps[0].m_isLongRunning = true;
+  fixture.m_pool.AddJob(lasting, fixture.m_now, false);
+  REQUIRE(fixture.StartAll().size() == 1);
+  fixture.AddMinion("b", 8'000);
+  SetCapacity(fixture, "a", 2'000);
+  CHECK(fixture.m_pool.EvaluateAdmission(MakeJob("j", 4), Millis(0), fixture.m_now).m_isAccepted);
+}
