Job: runs of ended jobs count against a minion's capacity after a takeover

A minion that starts whatever it is told could be brought over its capacity. An owner that takes over learns the runs of its predecessor from the minions' reports. If the job had ended meanwhile, its occurrences are gone, the unit was not found, and the run that was being stopped was entered with no resources. Other units were started into the capacity that it still used. The same held for a run of an occurrence that this owner had not begun or had already finished.

The step now comes from the job's record, which keeps its steps. A minion with a run of a job that this owner does not know at all gets no work until that run has ended; the obstacle is logged as unknown-run.

Both new cases failed before: the start was ordered beside the run that was being stopped.

--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -31,6 +31,7 @@
   Draining,
   MissedCall,
   Paused,
+  UnknownRun, ///< It runs a unit of an unknown job, so its free capacity is unknown.
   Suspicious,
   Cpu,
   Memory,
@@ -80,6 +81,7 @@
     std::pair{ job::PlacementObstacle::Draining, std::string_view("draining") },
     std::pair{ job::PlacementObstacle::MissedCall, std::string_view("missed-call") },
     std::pair{ job::PlacementObstacle::Paused, std::string_view("paused") },
+    std::pair{ job::PlacementObstacle::UnknownRun, std::string_view("unknown-run") },
     std::pair{ job::PlacementObstacle::Suspicious, std::string_view("suspicious") },
     std::pair{ job::PlacementObstacle::Cpu, std::string_view("cpu") },
     std::pair{ job::PlacementObstacle::Memory, std::string_view("memory") },
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -91,9 +91,10 @@
     0
   }; ///< Run time: the estimate, corrected by the queue's measured ones.
   bool m_isStopConfirmed = false; ///< The minion has confirmed the stop order.
+  bool m_isSizeUnknown = false;   ///< Of an unknown job: m_reserved is not what it uses.
 };
 
-/// Creates a run that starts now. aStep is the unit's step, or nullptr when the unit is unknown.
+/// Creates a run that starts now. aStep is the unit's step, or nullptr when its job is unknown.
 Run MakeRun(const UnitId& aUnit, std::uint32_t aRun, const StepSpec* aStep, TimePoint aNow);
 
 struct MinionState
@@ -107,6 +108,7 @@
   bool m_isRecorded = false;            ///< The store has a record that work may be on it.
   std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
   Resources m_used;
+  std::size_t m_runsOfUnknownSize = 0;
   TimePoint m_lastAnswerAt{};
   TimePoint m_leaseEnd{};               ///< Latest time at which its runs can still hold a lease.
   std::uint64_t m_lastProcessedEnd = 0; ///< Ends up to this number have been processed.
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -71,6 +71,9 @@
   if (aNow < aMinion.m_pausedUntil) {
     return PlacementObstacle::Paused;
   }
+  if (aMinion.m_runsOfUnknownSize > 0) {
+    return PlacementObstacle::UnknownRun;
+  }
   if (IsSuspicious(aMinion) && (!aMinion.m_runs.empty() || aNow < aMinion.m_probeAt)) {
     return PlacementObstacle::Suspicious;
   }
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -262,7 +262,9 @@
     if (!aMinion.m_runs.contains(row.m_unit)) {
       // This is a run of an earlier owner or of an order that was carried out late.
       const bool isWanted = unit && !unit->m_isDone && unit->m_minions.empty() && !job->HasEnded();
-      const StepSpec* spec = unit ? &job->m_record.m_spec.m_steps[id->m_step] : nullptr;
+      // A run of a job that has ended uses its capacity until it has stopped.
+      const bool hasSpec = job && id->m_step < job->m_record.m_spec.m_steps.size();
+      const StepSpec* spec = hasSpec ? &job->m_record.m_spec.m_steps[id->m_step] : nullptr;
       Run& adopted = AddRun(aMinion, unit, row.m_unit, MakeRun(*id, row.m_run, spec, aNow));
       adopted.m_phase = RunPhase::Running;
       adopted.m_confirmedAt = aNow;
@@ -304,6 +306,7 @@
 Run& PoolScheduler::AddRun(MinionState& aMinion, Unit* aUnit, const std::string& aName, Run aRun)
 {
   aMinion.m_used += aRun.m_reserved;
+  aMinion.m_runsOfUnknownSize += aRun.m_isSizeUnknown ? 1 : 0;
   if (aUnit) {
     aUnit->m_minions.push_back(aMinion.m_entry.m_id);
     aUnit->m_lastRun = std::max(aUnit->m_lastRun, aRun.m_run);
@@ -319,6 +322,7 @@
   }
   const UnitId id = entry->second.m_unit;
   aMinion.m_used -= entry->second.m_reserved;
+  aMinion.m_runsOfUnknownSize -= entry->second.m_isSizeUnknown ? 1 : 0;
   aMinion.m_runs.erase(entry);
   Job* job = nullptr;
   Unit* unit = FindUnit(id, &job);
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -60,6 +60,8 @@
     run.m_isLongRunning = aStep->m_isLongRunning;
     run.m_isBestEffort = aStep->m_isBestEffort;
     run.m_tailLatencyTarget = aStep->m_tailLatencyTarget;
+  } else {
+    run.m_isSizeUnknown = true;
   }
   return run;
 }
--- a/tests/job/CapacityChangeTest.cpp
+++ b/tests/job/CapacityChangeTest.cpp
@@ -229,3 +229,33 @@
   SetCapacity(fixture, "a", 2'000);
   CHECK(fixture.m_pool.EvaluateAdmission(MakeJob("j", 4), Millis(0), fixture.m_now).m_isAccepted);
 }
+
+TEST_CASE("a run of an ended job counts against the capacity after a takeover until it has stopped")
+{
+  PoolFixture fixture;
+  InheritMinion(fixture, "a");
+  REQUIRE(
+    fixture.m_pool
+      .LoadJob(MakeJob("j", 1, 3'000), R"({"state":"cancelled"})", fixture.m_now, fixture.m_wallNow)
+      .has_value());
+  SetCapacity(fixture, "a", 4'000);
+  fixture.Report("a", { { "j.0.0.0", 1, {}, 10, 0 } }, {});
+  fixture.m_pool.AddJob(MakeJob("k", 1, 2'000), fixture.m_now, false);
+  const PoolOrders orders = fixture.Decide();
+  CHECK(orders.m_stops.size() == 1);
+  CHECK(orders.m_starts.empty());
+  fixture.Report("a", {}, { { 1, "j.0.0.0", 1, RunOutcome::Stopped, {} } });
+  CHECK(fixture.Decide().m_starts.size() == 1);
+}
+
+TEST_CASE("a minion with a run of an unknown job gets no work until the run has ended")
+{
+  PoolFixture fixture;
+  InheritMinion(fixture, "a");
+  SetCapacity(fixture, "a", 4'000);
+  fixture.Report("a", { { "unknown.0.0.0", 1, {}, 10, 0 } }, {});
+  fixture.m_pool.AddJob(MakeJob("k", 1), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.empty());
+  fixture.Report("a", {}, { { 1, "unknown.0.0.0", 1, RunOutcome::Stopped, {} } });
+  CHECK(fixture.Decide().m_starts.size() == 1);
+}
