Job: a restarted minion gets work only by its own registration

A minion that crashed and is back under its id may be of another kind, with less capacity and other labels. Its answer to a lease extension shows the restart at once, its registration a little later. In between the scheduler placed work by the former incarnation's capacity, so that a start could bring a minion over its capacity; the same held after a takeover when the record of the used minion was newer than the registration.

A minion whose registration is older than its latest report counts as unregistered until its own one arrives. The comparison is with the latest report and not with the highest start time seen: a minion whose clock was set back at its restart gets work as before.

--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -100,10 +100,12 @@
 struct MinionState
 {
   MinionEntry m_entry;
-  bool m_isRegistered = true; ///< The store has its registration.
-  bool m_isFenced = false;    ///< It has answered this owner and refuses orders of earlier ones.
-  bool m_isCordoned = false;  ///< Gets no new work because of planned maintenance or a move.
-  TimePoint m_cordonedAt{};   ///< When it was cordoned.
+  bool m_isRegistered = true;           ///< The store has its registration.
+  std::int64_t m_registeredStartMs = 0; ///< Start time in its registration.
+  std::int64_t m_reportedStartMs = 0;   ///< Start time in its latest report.
+  bool m_isFenced = false;   ///< It has answered this owner and refuses orders of earlier ones.
+  bool m_isCordoned = false; ///< Gets no new work because of planned maintenance or a move.
+  TimePoint m_cordonedAt{};  ///< When it was cordoned.
   bool m_isAwaitingMaintenance = false; ///< Will be cordoned soon.
   bool m_isRecorded = false;            ///< The store has a record that work may be on it.
   std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
@@ -120,6 +122,11 @@
   TimePoint m_probeAt{};     ///< When a suspicious minion may get a unit again, as a probe.
   TimePoint m_pausedUntil{}; ///< Gets no work until then because it refused an order.
 
+  /// Whether its registration is of a former incarnation, which may have had another capacity.
+  bool IsRegistrationOutdated() const
+  {
+    return m_registeredStartMs != 0 && m_registeredStartMs < m_reportedStartMs;
+  }
   Resources Free() const
   {
     Resources free = m_entry.m_capacity;
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -18,6 +18,11 @@
 void PoolScheduler::UpdateMinion(const MinionEntry& aEntry, TimePoint aNow)
 {
   MinionState& minion = m_minions[aEntry.m_id];
+  minion.m_registeredStartMs = aEntry.m_startedAtMs;
+  if (minion.IsRegistrationOutdated()) {
+    minion.m_isRegistered = false;
+    return;
+  }
   const bool hasRestarted =
     minion.m_entry.m_startedAtMs != 0 && aEntry.m_startedAtMs > minion.m_entry.m_startedAtMs;
   if (hasRestarted) {
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -110,6 +110,8 @@
     }
     minion.m_entry.m_startedAtMs = aReport.m_startedAtMs;
   }
+  minion.m_reportedStartMs = aReport.m_startedAtMs;
+  minion.m_isRegistered = minion.m_isRegistered && !minion.IsRegistrationOutdated();
   minion.m_lastAnswerAt = aNow;
   minion.m_missedCalls = 0;
   minion.m_isFenced = true;
--- a/tests/job/CapacityChangeTest.cpp
+++ b/tests/job/CapacityChangeTest.cpp
@@ -259,3 +259,48 @@
   fixture.Report("a", {}, { { 1, "unknown.0.0.0", 1, RunOutcome::Stopped, {} } });
   CHECK(fixture.Decide().m_starts.size() == 1);
 }
+
+TEST_CASE("a restarted minion gets no work before its own registration shows its capacity")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a", 16'000);
+  // The answer to a lease extension shows the restart before the registration does.
+  fixture.Report("a", {}, {}, 2);
+  fixture.m_pool.AddJob(MakeJob("j", 8), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.empty());
+  SUBCASE("a registration of the former incarnation is ignored")
+  {
+    SetCapacity(fixture, "a", 16'000);
+    CHECK(fixture.Decide().m_starts.empty());
+  }
+  MinionEntry entry = MakeMinion("a", 2'000);
+  entry.m_startedAtMs = 2;
+  fixture.m_pool.UpdateMinion(entry, fixture.m_now);
+  CHECK(fixture.StartAll().size() == 2);
+}
+
+TEST_CASE("a registration that is older than the record of the used minion gives no capacity")
+{
+  PoolFixture fixture;
+  InheritMinion(fixture, "a");
+  fixture.m_pool.Minions().at("a").m_entry.m_startedAtMs = 2;
+  SetCapacity(fixture, "a", 16'000);
+  fixture.Report("a", {}, {}, 2);
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.empty());
+}
+
+TEST_CASE("a minion whose clock was set back at its restart gets work")
+{
+  PoolFixture fixture;
+  MinionEntry entry = MakeMinion("a", 4'000);
+  entry.m_startedAtMs = 50;
+  fixture.m_pool.UpdateMinion(entry, fixture.m_now);
+  fixture.m_pool.Minions().at("a").m_isRecorded = true;
+  fixture.Report("a", {}, {}, 50);
+  fixture.Report("a", {}, {}, 10);
+  entry.m_startedAtMs = 10;
+  fixture.m_pool.UpdateMinion(entry, fixture.m_now);
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.size() == 1);
+}
