Soak: changing capacities, returning minions, planned series and lasting units of a cut-off owner

The soak drew no minion whose capacity changes, its minions registered at once after a restart, signals came one at a time, callers opened their connections anew after each error, and lasting units were cancelled as soon as the faults ended.

The last pool has two shards, and its minions do not guard their capacity.

New checks: no start beyond the capacity of a minion that does not guard it; a lasting unit runs again within 13 s after the faults although one node stays cut off for 9 s, if two minions have room for it; every request on a kept connection gets its response during a planned series without other faults; a deadly unit is started less than three times after three crashes; a job is shown as failed only with a unit that failed in all attempts (stricter: one start was enough before) or a deadly one.

Stated times: contact time 4 s, a heartbeat of 1 s, 6 s and 3 s of absence, 0.5 s of slack.

--- a/tests/soak/CallerSimulator.cpp
+++ b/tests/soak/CallerSimulator.cpp
@@ -13,8 +13,9 @@
 constexpr Millis kRequestDeadline{ 3'000 };
 constexpr Micros kRetryDelay{ 700'000 };
 constexpr int kMaxSubmitAttempts = 6;
-constexpr int kJobsPerLongRunningJob = 60;
+constexpr int kJobsPerLongRunningJob = 30;
 constexpr int kJobsPerCancelledJob = 12;
+constexpr int kJobsPerDeadlyJob = 40;
 /// One of so many jobs fails in every attempt that its queue allows.
 constexpr int kJobsPerFailingJob = 25;
 
@@ -25,13 +26,15 @@
                                  GuaranteeChecker& aChecker,
                                  std::uint64_t aSeed,
                                  std::vector<std::string> aNodeAddresses,
-                                 std::vector<std::string> aQueuePrefixes)
+                                 std::vector<std::string> aQueuePrefixes,
+                                 bool aSubmitsDeadlyJobs)
   : m_timers(aTimers)
   , m_checker(aChecker)
   , m_http(aContext)
   , m_random(aSeed)
   , m_nodeAddresses(std::move(aNodeAddresses))
   , m_queuePrefixes(std::move(aQueuePrefixes))
+  , m_submitsDeadlyJobs(aSubmitsDeadlyJobs)
 {
 }
 
@@ -43,8 +46,12 @@
 
 void CallerSimulator::StopSubmitting()
 {
-  m_isSubmitting = false;
   m_submitTimer.Cancel();
+}
+
+void CallerSimulator::CancelLongRunningJobs()
+{
+  m_cancelsLongRunning = true;
   for (const std::string& id : m_longRunningJobs) {
     CancelJob(id);
   }
@@ -87,6 +94,7 @@
 {
   const std::uint64_t number = ++m_jobCount;
   const bool isLongRunning = number % kJobsPerLongRunningJob == 1;
+  const bool isDeadly = m_submitsDeadlyJobs && number % kJobsPerDeadlyJob == 11;
   const int cpu = Draw(1, 6) * 500;
   const int runMs = isLongRunning ? 0 : Draw(50, 700);
   const int failures = number % kJobsPerFailingJob == 7 ? int(kMaxAttempts)
@@ -104,13 +112,17 @@
     if (isLongRunning) {
       item["long_running"] = true;
       item["estimate_ms"] = 500;
+      if (Draw(0, 1) == 0) {
+        item["max_per_server"] = 1;
+      }
     }
     steps.push_back(std::move(item));
   }
   // The machine stand-in reads the duration, CPU and failures of the unit's runs from the payload.
   const Json payload{ { "ms", runMs },
                       { "cpu", cpu },
-                      { "failures", isLongRunning ? 0 : failures } };
+                      { "failures", isLongRunning ? 0 : failures },
+                      { "deadly", isDeadly } };
   Submission submission;
   submission.m_id = fmt::format("{:016x}", m_random());
   submission.m_path =
@@ -118,7 +130,8 @@
     submission.m_id;
   submission.m_body = Json{ { "spec", payload.dump() }, { "steps", std::move(steps) } }.dump();
   submission.m_isLongRunning = isLongRunning;
-  m_checker.OnSubmitted(submission.m_id, platform::DecodeJobSpec(submission.m_body).value());
+  m_checker.OnSubmitted(
+    submission.m_id, platform::DecodeJobSpec(submission.m_body).value(), isDeadly);
   Submit(submission);
 }
 
@@ -140,7 +153,7 @@
     if (aSubmission.m_isLongRunning) {
       m_longRunningJobs.push_back(aSubmission.m_id);
     }
-    if (aSubmission.m_isLongRunning ? !m_isSubmitting : Draw(1, kJobsPerCancelledJob) == 1) {
+    if (aSubmission.m_isLongRunning ? m_cancelsLongRunning : Draw(1, kJobsPerCancelledJob) == 1) {
       RunAfter(Micros(Draw(0, 800) * 1'000), [this, id = aSubmission.m_id] { CancelJob(id); });
     }
     return;
@@ -164,9 +177,15 @@
   });
 }
 
+std::string CallerSimulator::JobPath(const std::string& aJob) const
+{
+  const auto path = m_acceptedPaths.find(aJob);
+  return path == m_acceptedPaths.end() ? std::string{} : path->second;
+}
+
 void CallerSimulator::PollJobStates()
 {
-  for (const std::string& id : m_checker.UnfinishedJobs()) {
+  for (const std::string& id : m_checker.UnfinishedJobs(true)) {
     SendRequest("GET", m_acceptedPaths.at(id), {}, [this, id](const HttpCallResult& aResult) {
       if (!aResult || aResult.value().m_status != 200) {
         return;
--- a/tests/soak/CallerSimulator.h
+++ b/tests/soak/CallerSimulator.h
@@ -26,11 +26,15 @@
                   GuaranteeChecker& aChecker,
                   std::uint64_t aSeed,
                   std::vector<std::string> aNodeAddresses,
-                  std::vector<std::string> aQueuePrefixes);
+                  std::vector<std::string> aQueuePrefixes,
+                  bool aSubmitsDeadlyJobs);
 
   void Start();
-  /// Stops submitting new jobs and cancels the long-running ones. Polling of states continues.
+  /// Stops submitting new jobs. Polling of states continues.
   void StopSubmitting();
+  void CancelLongRunningJobs();
+  /// Returns the URL path of an accepted job.
+  std::string JobPath(const std::string& aJob) const;
 
 private:
   struct Submission
@@ -63,7 +67,8 @@
   std::map<std::string, std::string>
     m_acceptedPaths; ///< URL paths of the accepted jobs, by job ID.
   std::vector<std::string> m_longRunningJobs;
-  bool m_isSubmitting = true;
+  bool m_submitsDeadlyJobs = false;
+  bool m_cancelsLongRunning = false;
   std::uint64_t m_jobCount = 0;
   TimerHandle m_submitTimer;
   TimerHandle m_pollTimer;
--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -6,20 +6,32 @@
 
 namespace mustardtray::soak {
 
+namespace {
+
+TimePoint Now()
+{
+  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
 void GuaranteeChecker::ReportViolation(const std::string& aDescription)
 {
   Log(LogCategory::Process, LogLevel::Error, "guarantee-violated", "violation", aDescription);
   m_violations.push_back(aDescription);
 }
 
-void GuaranteeChecker::OnSubmitted(const std::string& aJob, job::JobSpec aSpec)
+void GuaranteeChecker::OnSubmitted(const std::string& aJob, job::JobSpec aSpec, bool aIsDeadly)
 {
+  m_jobs[aJob].m_isDeadly = aIsDeadly;
   m_jobs[aJob].m_spec = std::move(aSpec);
 }
 
 void GuaranteeChecker::OnAccepted(const std::string& aJob)
 {
-  m_jobs.at(aJob).m_isAccepted = true;
+  JobRecord& job = m_jobs.at(aJob);
+  job.m_acceptedAt = job.m_isAccepted ? job.m_acceptedAt : Now();
+  job.m_isAccepted = true;
 }
 
 void GuaranteeChecker::OnSubmitFailed(const std::string& aJob, bool aIsOutcomeKnown)
@@ -52,12 +64,10 @@
     for (auto unit = m_units.lower_bound(prefix);
          unit != m_units.end() && unit->first.starts_with(prefix);
          ++unit) {
-      hasExhaustedUnit = hasExhaustedUnit || unit->second.m_failedRuns.size() >= kMaxAttempts;
+      hasExhaustedUnit = hasExhaustedUnit || unit->second.m_failures >= kMaxAttempts;
     }
-    // A run end is acknowledged after it is stored, so the acknowledged failures may be one fewer
-    // than the stored ones.
-    if (!hasExhaustedUnit && !job.m_hasStarted) {
-      ReportViolation("reported as failed although no run has started: " + aJob);
+    if (!hasExhaustedUnit && !job.m_isDeadly) {
+      ReportViolation("reported as failed although no unit has failed in all attempts: " + aJob);
     }
   }
 }
@@ -91,6 +101,10 @@
       ReportViolation("started before a preceding step was done: " + name);
     }
   }
+  if (job->second.m_isDeadly && unit.m_crashes >= kMaxCrashes &&
+      ++unit.m_startsAfterCrashes == kMaxStartsAfterCrashes) {
+    ReportViolation("a unit that crashes its minions was started too often: " + name);
+  }
   unit.m_incarnations.insert(aIncarnation);
 }
 
@@ -100,6 +114,8 @@
 {
   UnitRecord& unit = m_units[aUnit.Text()];
   unit.m_incarnations.erase(aIncarnation);
+  unit.m_failures += aOutcome == job::RunOutcome::Failed ? 1 : 0;
+  unit.m_lastEndedAt = Now();
   unit.m_isDone = unit.m_isDone || aOutcome == job::RunOutcome::Done;
 }
 
@@ -130,19 +146,42 @@
   return true;
 }
 
-std::vector<std::string> GuaranteeChecker::UnfinishedJobs() const
+std::vector<std::string> GuaranteeChecker::UnfinishedJobs(bool aIncludesDeadly) const
 {
   std::vector<std::string> jobs;
   for (const auto& [id, job] : m_jobs) {
     const bool hasEnded = job.m_reportedState == "completed" || job.m_reportedState == "failed" ||
                           job.m_reportedState == "cancelled";
-    if (job.m_isAccepted && !hasEnded) {
+    if (job.m_isAccepted && !hasEnded && (aIncludesDeadly || !job.m_isDeadly)) {
       jobs.push_back(id);
     }
   }
   return jobs;
 }
 
+std::vector<GuaranteeChecker::MissingUnit> GuaranteeChecker::LongRunningUnitsAbsentSince(
+  TimePoint aSince) const
+{
+  std::vector<MissingUnit> missing;
+  for (const auto& [id, job] : m_jobs) {
+    if (!job.m_spec.IsLongRunning() || !job.m_isAccepted || job.m_isCancelSent ||
+        job.m_acceptedAt > aSince) {
+      continue;
+    }
+    const job::StepSpec& step = job.m_spec.m_steps.front();
+    for (std::uint32_t index = 0; index < step.m_count; ++index) {
+      const job::UnitId unit{ id, 0, 0, index };
+      const auto record = m_units.find(unit.Text());
+      const bool isAbsent = record == m_units.end() || (record->second.m_incarnations.empty() &&
+                                                        record->second.m_lastEndedAt <= aSince);
+      if (isAbsent) {
+        missing.push_back({ unit, step.m_need.m_cpu, step.m_maxPerMinion == 1 });
+      }
+    }
+  }
+  return missing;
+}
+
 void GuaranteeChecker::CheckFinalState()
 {
   for (const std::string& id : UnfinishedJobs()) {
--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -1,5 +1,7 @@
 #include "tests/soak/MachineStandin.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "standin/StandinJson.h"
@@ -11,6 +13,12 @@
 constexpr double kClockRate = 0.98; ///< The lowest rate that a minion's clock may have.
 constexpr Millis kTickPeriod{ 10 };
 constexpr Millis kHeartbeatPeriod{ 1'000 };
+/// The registration of a minion that crashed stays in the store for this time.
+constexpr Millis kRegistrationExpiry{ 3'000 };
+/// Time for which a capacity that has shrunk still counts.
+constexpr Millis kCapacityGrace = kContactTime + kHeartbeatPeriod;
+constexpr Millis kDeadlyUnitDelay{ 100 };
+constexpr Millis kDeadlyUnitOutage{ 2'000 };
 constexpr Millis kStopDuration{ 60 };
 constexpr Millis kLongRunningDuration{ 3'600'000 };
 constexpr std::size_t kMaxListedRunEnds = 500;
@@ -92,8 +100,12 @@
   incarnation.m_startTimeMs =
     std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
   incarnation.m_startedAt = Now();
+  incarnation.m_cpu = aMachine.m_cpu;
   static_cast<void>(aMachine.m_server->Listen());
-  RegisterMinion(aMachine);
+  // A minion that is back under its ID registers with its next heartbeat.
+  if (aId.empty()) {
+    RegisterMinion(aMachine);
+  }
 }
 
 void MachineStandin::EndIncarnation(Machine& aMachine)
@@ -107,10 +119,27 @@
   for (const auto& [name, run] : aMachine.m_incarnation->m_runs) {
     m_checker.OnRunEnded(run.m_unit, job::RunOutcome::LeaseExpired, IncarnationName(aMachine));
   }
-  m_store.Remove("servers", aMachine.m_incarnation->m_id);
   aMachine.m_incarnation.reset();
 }
 
+void MachineStandin::LeaveService(Machine& aMachine)
+{
+  if (aMachine.m_incarnation) {
+    m_store.Remove("servers", aMachine.m_incarnation->m_id);
+  }
+  EndIncarnation(aMachine);
+}
+
+void MachineStandin::ExpireRegistration(const std::string& aId)
+{
+  const bool isUp = std::any_of(m_machines.begin(), m_machines.end(), [&](const auto& aEntry) {
+    return aEntry.second->m_incarnation && aEntry.second->m_incarnation->m_id == aId;
+  });
+  if (!isUp) {
+    m_store.Remove("servers", aId);
+  }
+}
+
 void MachineStandin::RegisterMinion(const Machine& aMachine)
 {
   const Incarnation& incarnation = *aMachine.m_incarnation;
@@ -121,7 +150,8 @@
                     { "slots", 8 },
                     { "state", "ready" },
                     { "seq", ClockMs(incarnation) },
-                    { "capacity", { { "cpu", kMachineCpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
+                    { "capacity",
+                      { { "cpu", incarnation.m_cpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
                     { "labels", { "a", "rack-1" } },
                     { "machine", aMachine.m_name },
                     { "born", incarnation.m_startTimeMs } };
@@ -140,10 +170,53 @@
   if (!machine.m_incarnation) {
     return;
   }
-  const std::string id = aKeepsId ? machine.m_incarnation->m_id : std::string{};
+  const std::string id = machine.m_incarnation->m_id;
+  for (const auto& [name, run] : machine.m_incarnation->m_runs) {
+    m_checker.OnMinionCrashed(run.m_unit);
+  }
   EndIncarnation(machine);
+  m_expiryTimers[id] = m_timers.After(kRegistrationExpiry, [this, id] { ExpireRegistration(id); });
   machine.m_state = "down";
-  ReturnAfter(machine, aDuration, id);
+  ReturnAfter(machine, aDuration, aKeepsId ? id : std::string{});
+}
+
+void MachineStandin::SetCapacity(const std::string& aName, std::int64_t aCpu)
+{
+  Machine& machine = *m_machines.at(aName);
+  machine.m_cpu = aCpu;
+  if (machine.m_incarnation) {
+    machine.m_incarnation->m_formerCapacities.push_back(
+      { Now() + kCapacityGrace, machine.m_incarnation->m_cpu });
+    machine.m_incarnation->m_cpu = aCpu;
+  }
+}
+
+std::int64_t MachineStandin::UsedCpu(const Incarnation& aIncarnation)
+{
+  std::int64_t used = 0;
+  for (const auto& [unit, run] : aIncarnation.m_runs) {
+    used += run.m_cpu;
+  }
+  return used;
+}
+
+std::size_t MachineStandin::MachinesWithRoom(const std::string& aPool,
+                                             std::int64_t aCpu,
+                                             const std::string& aExcludedStep) const
+{
+  std::size_t count = 0;
+  for (const auto& [name, machine] : m_machines) {
+    if (machine->m_pool != aPool || !machine->m_incarnation) {
+      continue;
+    }
+    const auto& runs = machine->m_incarnation->m_runs;
+    const bool hasUnit = std::any_of(runs.begin(), runs.end(), [&](const auto& aRun) {
+      return aRun.first.starts_with(aExcludedStep);
+    });
+    const std::int64_t free = machine->m_incarnation->m_cpu - UsedCpu(*machine->m_incarnation);
+    count += !hasUnit && free >= aCpu ? 1 : 0;
+  }
+  return count;
 }
 
 void MachineStandin::Hang(const std::string& aName, Millis aDuration)
@@ -272,13 +345,21 @@
     return makeResponse(kConflict, "old");
   }
   const Json payload = Json::parse(aBody.at("spec").get<std::string>());
-  std::int64_t used = 0;
-  for (const auto& [unit, other] : incarnation.m_runs) {
-    used += other.m_cpu;
-  }
   const auto cpu = payload.at("cpu").get<std::int64_t>();
-  if (used + cpu > kMachineCpu) {
-    return makeResponse(kConflict, "room");
+  const std::int64_t cpuAfter = UsedCpu(incarnation) + cpu;
+  if (m_guardedPools.contains(aMachine.m_pool)) {
+    if (cpuAfter > incarnation.m_cpu) {
+      return makeResponse(kConflict, "room");
+    }
+  } else {
+    std::int64_t limit = incarnation.m_cpu;
+    for (const FormerCapacity& former : incarnation.m_formerCapacities) {
+      limit = std::max(limit, former.m_countsUntil >= Now() ? former.m_cpu : 0);
+    }
+    if (cpuAfter > limit) {
+      m_checker.ReportViolation(fmt::format(
+        "started beyond the capacity: {} on {}, {} of {}", name, aMachine.m_name, cpuAfter, limit));
+    }
   }
   Run started;
   started.m_unit = *id;
@@ -289,6 +370,15 @@
   started.m_willFail = run % 1'000 <= payload.at("failures").get<std::uint32_t>();
   m_checker.OnRunStarted(*id, run, IncarnationName(aMachine));
   incarnation.m_runs.emplace(name, started);
+  if (payload.value("deadly", false)) {
+    m_crashTimers.push_back(m_timers.After(
+      kDeadlyUnitDelay, [this, machine = aMachine.m_name, life = IncarnationName(aMachine)] {
+        const Machine& current = *m_machines.at(machine);
+        if (current.m_incarnation && IncarnationName(current) == life) {
+          Crash(machine, kDeadlyUnitOutage, true);
+        }
+      }));
+  }
   return makeResponse(200, "");
 }
 
@@ -363,98 +453,4 @@
                         .dump());
 }
 
-// Machine orders.
-
-void MachineStandin::StartWave(std::uint64_t aNumber,
-                               std::size_t aMachines,
-                               std::size_t aMaxInMaintenance)
-{
-  std::vector<std::string> names = MachineNames();
-  names.resize(std::min(aMachines, names.size()));
-  m_waveMachines[aNumber] = { names.begin(), names.end() };
-  m_waveLimits[aNumber] = aMaxInMaintenance;
-  m_store.Put("op",
-              fmt::format("wave/{}", aNumber),
-              Json{ { "wave", aNumber },
-                    { "machines", names },
-                    { "duration_s", 12 },
-                    { "max_count", aMaxInMaintenance } }
-                .dump());
-}
-
-void MachineStandin::HandleCloudApiRequest(const std::shared_ptr<StandinExchange>& aExchange)
-{
-  const HttpRequest& request = aExchange->Request();
-  aExchange->SendResponse(request.m_method == "GET" ? ListMachines() : ExecuteOrder(request));
-}
-
-HttpResponse MachineStandin::ListMachines() const
-{
-  Json machines = Json::array();
-  for (const auto& [name, machine] : m_machines) {
-    machines.push_back(
-      { { "machine", name },
-        { "pool", machine->m_pool },
-        { "state", machine->m_state },
-        { "zone", "z1" },
-        { "labels", { "a", "rack-1" } },
-        { "capacity", { { "cpu", kMachineCpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
-        { "id", machine->m_incarnation ? Json(machine->m_incarnation->m_id) : Json() } });
-  }
-  return JsonResponse(200, Json{ { "machines", std::move(machines) } }.dump());
-}
-
-HttpResponse MachineStandin::ExecuteOrder(const HttpRequest& aRequest)
-{
-  const Json body = Json::parse(aRequest.m_body, nullptr, false);
-  const auto found = m_machines.find(body.value("machine", std::string{}));
-  const std::string* holder = aRequest.Header("Lease-Holder");
-  const std::string* token = aRequest.Header("Fencing-Token");
-  if (found == m_machines.end() || !holder || !token) {
-    return JsonResponse(400, "{}");
-  }
-  Machine& machine = *found->second;
-  const std::uint64_t number = std::strtoull(token->c_str(), nullptr, 10);
-  const bool isOtherHolder = !machine.m_leaseHolder.empty() && machine.m_leaseHolder != *holder;
-  if (isOtherHolder && Now() - machine.m_orderedAt < kMachineOrderLease) {
-    m_checker.ReportViolation("two lease holders sent orders for " + machine.m_name +
-                              " within one order lease: " + machine.m_leaseHolder + " and " +
-                              *holder);
-  }
-  if (number < machine.m_orderToken || (isOtherHolder && number == machine.m_orderToken)) {
-    m_checker.ReportViolation("an order has an outdated fencing token: " + machine.m_name);
-  }
-  machine.m_leaseHolder = *holder;
-  machine.m_orderToken = number;
-  machine.m_orderedAt = Now();
-  if (machine.m_state != "up") {
-    return JsonResponse(kConflict, R"({"reason":"busy"})");
-  }
-  if (aRequest.m_path == "/-/machine-move") {
-    EndIncarnation(machine);
-    machine.m_pool = body.at("pool");
-    machine.m_state = "moving";
-    ReturnAfter(machine, kMoveDuration, {});
-    return JsonResponse(200, "{}");
-  }
-  const auto wave = body.at("wave").get<std::uint64_t>();
-  if (!m_maintained.insert({ wave, machine.m_name }).second) {
-    return JsonResponse(200, "{}"); // The maintenance has already been ordered.
-  }
-  if (!m_waveMachines[wave].contains(machine.m_name)) {
-    return JsonResponse(kConflict, R"({"reason":"wave"})");
-  }
-  std::size_t inMaintenance = 0;
-  for (const auto& [name, other] : m_machines) {
-    inMaintenance += other->m_state == "upkeep" ? 1 : 0;
-  }
-  if (inMaintenance >= m_waveLimits[wave]) {
-    m_checker.ReportViolation("too many machines in maintenance at once: " + machine.m_name);
-  }
-  EndIncarnation(machine);
-  machine.m_state = "upkeep";
-  ReturnAfter(machine, kMaintenanceDuration, {});
-  return JsonResponse(200, "{}");
-}
-
 } // namespace mustardtray::soak
--- a/tests/soak/MachineStandin.h
+++ b/tests/soak/MachineStandin.h
@@ -17,6 +17,15 @@
 
 namespace mustardtray::soak {
 
+// Limits and durations of the stand-in. The settings of the nodes repeat them.
+inline constexpr Millis kMaxRunLease{ 4'000 };
+inline constexpr Millis kMoveDuration{ 500 };
+inline constexpr Millis kMaintenanceDuration{ 700 };
+inline constexpr Millis kMachineOrderLease{ 1'000 };
+/// Calm time after which a machine or the store counts as undisturbed.
+inline constexpr Millis kContactTime{ 4'000 };
+inline constexpr std::int64_t kMachineCpu = 8'000;
+
 class MachineStandin
 {
 public:
@@ -29,6 +38,15 @@
   std::uint16_t CloudApiPort() const { return m_cloudApiServer.Port(); }
   std::vector<std::string> MachineNames() const;
 
+  /// The minions of this pool refuse starts beyond their capacity. Others start what they are told.
+  void SetGuarded(const std::string& aPool) { m_guardedPools.insert(aPool); }
+  /// Changes what the minion registers with its next heartbeat. Its runs go on.
+  void SetCapacity(const std::string& aName, std::int64_t aCpu);
+  /// Returns the number of the pool's machines that have this CPU free and no unit of the step,
+  /// given by the common prefix of its unit names.
+  std::size_t MachinesWithRoom(const std::string& aPool,
+                               std::int64_t aCpu,
+                               const std::string& aExcludedStep) const;
   /// Ends the minion at once. The machine starts a new incarnation after aDuration, with the same
   /// minion ID when aKeepsId is set.
   void Crash(const std::string& aName, Millis aDuration, bool aKeepsId);
@@ -54,12 +72,19 @@
     std::uint32_t m_runNumber = 0;
     job::RunOutcome m_outcome = job::RunOutcome::Done;
   };
+  struct FormerCapacity
+  {
+    TimePoint m_countsUntil{};
+    std::int64_t m_cpu = 0;
+  };
   /// One incarnation of a machine and its minion.
   struct Incarnation
   {
     std::string m_id;
     std::int64_t m_startTimeMs = 0;
     TimePoint m_startedAt{};
+    std::int64_t m_cpu = 0;
+    std::vector<FormerCapacity> m_formerCapacities;
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::uint32_t>
       m_highestEndedRuns; ///< By unit: this run number and lower ones may no longer start.
@@ -79,6 +104,7 @@
     std::string m_name;
     std::string m_pool;
     std::string m_state = "up";
+    std::int64_t m_cpu = kMachineCpu; ///< Capacity of its current and its next incarnation.
     std::unique_ptr<StandinServer> m_server;
     std::unique_ptr<Incarnation>
       m_incarnation; ///< Null while the machine is unavailable or in the spare pool.
@@ -102,6 +128,10 @@
   void EndRun(Machine& aMachine, const std::string& aUnit, job::RunOutcome aOutcome);
   void StartIncarnation(Machine& aMachine, const std::string& aId);
   void EndIncarnation(Machine& aMachine);
+  /// Ends the incarnation and its registration.
+  void LeaveService(Machine& aMachine);
+  void ExpireRegistration(const std::string& aId);
+  static std::int64_t UsedCpu(const Incarnation& aIncarnation);
   void RegisterMinion(const Machine& aMachine);
   void HandleCloudApiRequest(const std::shared_ptr<StandinExchange>& aExchange);
   HttpResponse ExecuteOrder(const HttpRequest& aRequest);
@@ -121,16 +151,12 @@
   std::map<std::uint64_t, std::size_t> m_waveLimits;
   std::set<std::pair<std::uint64_t, std::string>> m_maintained; ///< Pairs of wave and machine.
   std::string m_sparePool;
+  std::set<std::string> m_guardedPools;
+  std::map<std::string, TimerHandle> m_expiryTimers; ///< By ID of a minion that crashed.
+  std::list<TimerHandle> m_crashTimers;
   std::uint64_t m_incarnationCount = 0;
   TimerHandle m_tickTimer;
   TimerHandle m_heartbeatTimer;
 };
 
-// Limits and durations of the stand-in. The settings of the nodes repeat them.
-inline constexpr Millis kMaxRunLease{ 4'000 };
-inline constexpr Millis kMoveDuration{ 500 };
-inline constexpr Millis kMaintenanceDuration{ 700 };
-inline constexpr Millis kMachineOrderLease{ 1'000 };
-inline constexpr std::int64_t kMachineCpu = 8'000;
-
 } // namespace mustardtray::soak
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -64,7 +64,9 @@
     "duration of the fault phase in seconds",
     cxxopts::value<int>()->default_value("12"))(
     "nodes", "number of node processes", cxxopts::value<std::size_t>()->default_value("4"))(
-    "calm", "inject no faults")("h,help", "print this help");
+    "calm", "inject no faults")(
+    "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
+                                                                            "print this help");
   mustardtray::soak::SoakOptions soakOptions;
   std::vector<std::uint64_t> seeds;
   try {
@@ -78,6 +80,7 @@
     soakOptions.m_nodeCount = parsed["nodes"].as<std::size_t>();
     soakOptions.m_faultDuration = mustardtray::Millis(parsed["seconds"].as<int>() * 1'000);
     soakOptions.m_injectsFaults = parsed.count("calm") == 0;
+    soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
       seeds = parsed["seeds"].as<std::vector<std::uint64_t>>();
     }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -24,7 +24,16 @@
 /// check.
 constexpr Millis kMinCalmDuration{ 4'000 };
 constexpr std::size_t kPoolCount = 2;
-constexpr std::size_t kMachinesPerPool = 4;
+constexpr std::size_t kMachinesPerPool = 5;
+/// Shards of the last pool; the others have one.
+constexpr std::size_t kShardCount = 2;
+/// A unit of a long-running job is missing when it has not run for this time.
+constexpr Millis kMaxUnitAbsence{ 9'000 };
+/// Calm time until all units of long-running jobs must run: the loss of the owner shows after the
+/// contact time, then the units may be missing for their time.
+constexpr Millis kLongRunningCheckDelay = kContactTime + kMaxUnitAbsence;
+/// A connection may end without a response to a request that was sent so shortly before.
+constexpr Millis kLossSlack{ 500 };
 constexpr std::size_t kSpareMachineCount = 3;
 
 TimePoint Now()
@@ -47,12 +56,15 @@
 SoakRun::SoakRun(SoakOptions aOptions)
   : m_options(std::move(aOptions))
   , m_random(m_options.m_seed)
+  , m_connectionRandom(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
   WriteConfiguration();
   std::vector<std::string> queues;
   for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
     queues.push_back(QueuePrefix(pool));
+    m_store.PutWithoutHistory(
+      "shards", PoolName(pool), "row", std::to_string(pool + 1 == kPoolCount ? kShardCount : 1));
     for (std::size_t machine = 0; machine < kMachinesPerPool; ++machine) {
       m_machines.AddMachine(fmt::format("m-{}-{}", pool, machine), PoolName(pool), false);
     }
@@ -60,6 +72,7 @@
   for (std::size_t machine = 0; machine < kSpareMachineCount; ++machine) {
     m_machines.AddMachine(fmt::format("m-spare-{}", machine), "spare", true);
   }
+  m_machines.SetGuarded(PoolName(0));
   std::vector<std::string> addresses;
   for (std::size_t number = 1; number <= m_options.m_nodeCount; ++number) {
     AddNode(number);
@@ -67,8 +80,13 @@
   for (const auto& [name, node] : m_nodes) {
     addresses.push_back(node->m_callerAddress);
   }
-  m_callers = std::make_unique<CallerSimulator>(
-    m_context, m_timers, m_checker, m_options.m_seed, addresses, std::move(queues));
+  m_callers = std::make_unique<CallerSimulator>(m_context,
+                                                m_timers,
+                                                m_checker,
+                                                m_options.m_seed,
+                                                addresses,
+                                                std::move(queues),
+                                                m_options.m_hasDeadlyUnits);
 }
 
 SoakRun::~SoakRun()
@@ -92,6 +110,12 @@
   const std::string settings = fmt::format("{}/{}.conf", m_options.m_folder, process.m_name);
   process.m_command = { m_options.m_nodeProgram, "node", "--settings", settings };
   WriteSettings(*node, ip);
+  node->m_keptConnection = std::make_unique<KeptConnection>(
+    m_context,
+    m_timers,
+    node->m_callerAddress,
+    [this] { return DrawJobPath(); },
+    [this, &node = *node](TimePoint aSentAt) { OnRequestBroken(node, aSentAt); });
   m_nodes.emplace(process.m_name, std::move(node));
 }
 
@@ -122,7 +146,7 @@
                        { "max_attempts", kMaxAttempts },
                        { "stretch", 2 },
                        { "target_duration_ms", 3'000 } });
-    services.push_back({ { "name", PoolName(pool) }, { "rejects_overload", true } });
+    services.push_back({ { "name", PoolName(pool) }, { "rejects_overload", pool == 0 } });
   }
   services.push_back({ { "name", "spare" }, { "spare", true }, { "rejects_overload", true } });
   m_configVersion += 1 + m_random() % 3;
@@ -141,10 +165,14 @@
     if (const auto started = StartProcess(node->m_process); !started) {
       return { started.error().Text() };
     }
+    node->m_startedAt = Now();
   }
   m_watchTimer = m_timers.Every(kWatchPeriod, 0, [this] { RestartEndedNodes(); });
   m_phaseTimer = m_timers.After(kStartupTime, [this] {
     m_callers->Start();
+    for (auto& [name, node] : m_nodes) {
+      node->m_keptConnection->Connect();
+    }
     if (m_options.m_injectsFaults) {
       InjectFault();
     }
@@ -182,6 +210,7 @@
     node->m_restartTimer = m_timers.After(DrawMillis(100, 1'500), [this, &node = *node] {
       node.m_restartTimer.Cancel();
       static_cast<void>(StartProcess(node.m_process));
+      node.m_startedAt = Now();
     });
   }
 }
@@ -197,9 +226,7 @@
       kill(aNode.m_process.m_pid, SIGKILL);
       break;
     case 1:
-      aNode.m_isStopping = true;
-      kill(aNode.m_process.m_pid, SIGCONT);
-      kill(aNode.m_process.m_pid, SIGTERM);
+      Terminate(aNode);
       break;
     default:
       kill(aNode.m_process.m_pid, SIGSTOP);
@@ -216,7 +243,7 @@
 
 void SoakRun::InjectFault()
 {
-  switch (Draw(0, 6)) {
+  switch (Draw(0, 9)) {
     case 0:
     case 1:
       InjectNodeFault(DrawNode());
@@ -230,6 +257,24 @@
     case 4:
       InjectMachineFault();
       break;
+    case 7:
+      for (const std::string& machine : m_machines.MachineNames()) {
+        if (Draw(0, 2) == 0) {
+          ChangeCapacity(machine);
+        }
+      }
+      break;
+    case 8:
+      StartPlannedSeries();
+      break;
+    case 9: {
+      // Long enough that the owners on the node lose their pools.
+      Node& node = DrawNode();
+      node.m_storeProxy->SetFault(LinkFault::Stalled);
+      node.m_linkHealTimer = m_timers.After(
+        DrawMillis(6'000, 10'000), [&node] { node.m_storeProxy->SetFault(LinkFault::None); });
+      break;
+    }
     case 5:
       WriteConfiguration();
       m_store.Compact();
@@ -284,16 +329,95 @@
 {
   const std::vector<std::string> names = m_machines.MachineNames();
   const std::string& name = names[static_cast<std::size_t>(Draw(0, int(names.size()) - 1))];
-  if (Draw(0, 1) == 0) {
-    m_machines.Hang(name, DrawMillis(300, 5'000));
-  } else {
-    m_machines.Crash(name, DrawMillis(200, 4'000), Draw(0, 1) == 0);
+  switch (Draw(0, 3)) {
+    case 0:
+      m_machines.Hang(name, DrawMillis(300, 5'000));
+      break;
+    case 1:
+      ChangeCapacity(name);
+      break;
+    case 2:
+      // The next incarnation may be of another kind.
+      ChangeCapacity(name);
+      [[fallthrough]];
+    default:
+      m_machines.Crash(name, DrawMillis(200, 4'000), Draw(0, 2) > 0);
   }
 }
 
+void SoakRun::ChangeCapacity(const std::string& aMachine)
+{
+  m_machines.SetCapacity(aMachine, kMachineCpu * Draw(0, 6) / 8);
+  m_capacityTimers[aMachine] = m_timers.After(
+    DrawMillis(2'000, 12'000), [this, aMachine] { m_machines.SetCapacity(aMachine, kMachineCpu); });
+}
+
+// Planned work.
+
+void SoakRun::RunAfter(Millis aDelay, std::function<void()> aFunction)
+{
+  m_delayTimers.push_back(m_timers.After(aDelay, std::move(aFunction)));
+}
+
+void SoakRun::Terminate(Node& aNode)
+{
+  if (aNode.m_process.m_pid != 0 && !aNode.m_isStopping) {
+    aNode.m_isStopping = true;
+    kill(aNode.m_process.m_pid, SIGCONT);
+    kill(aNode.m_process.m_pid, SIGTERM);
+  }
+}
+
+void SoakRun::Reload(const Node& aNode)
+{
+  // A process that has just started does not handle the signal yet.
+  if (aNode.m_process.m_pid != 0 && Now() - aNode.m_startedAt > kStartupTime) {
+    const std::string& address = aNode.m_callerAddress;
+    WriteSettings(aNode, address.substr(0, address.find(':')));
+    kill(aNode.m_process.m_pid, SIGHUP);
+  }
+}
+
+void SoakRun::StartPlannedSeries()
+{
+  Node& first = DrawNode();
+  Node& second = DrawNode();
+  WriteConfiguration();
+  Reload(second);
+  RunAfter(DrawMillis(50, 400), [this, &first] { Terminate(first); });
+  RunAfter(DrawMillis(200, 700), [this, &first, &second] {
+    Reload(first);
+    Reload(second);
+    WriteConfiguration();
+  });
+  RunAfter(DrawMillis(600, 1'500), [this, &second] { Terminate(second); });
+  RunAfter(DrawMillis(700, 2'000), [this, &second] {
+    WriteConfiguration();
+    Reload(second);
+  });
+}
+
+std::string SoakRun::DrawJobPath()
+{
+  const std::vector<std::string> jobs = m_checker.UnfinishedJobs();
+  return jobs.empty() ? fmt::format("{}{:016x}", QueuePrefix(0), m_connectionRandom())
+                      : m_callers->JobPath(jobs[m_connectionRandom() % jobs.size()]);
+}
+
+void SoakRun::OnRequestBroken(const Node& aNode, TimePoint aSentAt)
+{
+  if (m_mustAnswerAll && Now() - aSentAt > kLossSlack) {
+    m_checker.ReportViolation("a connection ended without a response to a request: " +
+                              aNode.m_process.m_name);
+  }
+}
+
+// End.
+
 void SoakRun::EndFaults()
 {
   m_faultTimer.Cancel();
+  m_delayTimers.clear();
   m_storeHealTimer.Cancel();
   m_store.SetFault(StoreFault::None);
   for (auto& [name, node] : m_nodes) {
@@ -303,7 +427,38 @@
       kill(node->m_process.m_pid, SIGCONT);
     }
   }
+  for (const std::string& machine : m_machines.MachineNames()) {
+    m_capacityTimers.erase(machine);
+    m_machines.SetCapacity(machine, kMachineCpu);
+  }
   m_callers->StopSubmitting();
+  if (m_options.m_injectsFaults) {
+    Node& node = DrawNode();
+    node.m_storeProxy->SetFault(LinkFault::Stalled);
+    node.m_linkHealTimer =
+      m_timers.After(kMaxUnitAbsence, [&node] { node.m_storeProxy->SetFault(LinkFault::None); });
+  }
+  m_phaseTimer = m_timers.After(kLongRunningCheckDelay, [this] { CheckLongRunningUnits(); });
+}
+
+void SoakRun::CheckLongRunningUnits()
+{
+  for (const auto& missing : m_checker.LongRunningUnitsAbsentSince(Now() - kMaxUnitAbsence)) {
+    const std::string path = m_callers->JobPath(missing.m_unit.m_job);
+    for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
+      const std::string step = missing.m_isSpread ? missing.m_unit.m_job + "." : " ";
+      if (path.starts_with(QueuePrefix(pool)) &&
+          m_machines.MachinesWithRoom(PoolName(pool), missing.m_cpu, step) >= 2) {
+        m_checker.ReportViolation("a long-running unit does not run although there is room: " +
+                                  missing.m_unit.Text());
+      }
+    }
+  }
+  m_callers->CancelLongRunningJobs();
+  m_mustAnswerAll = true;
+  if (m_options.m_injectsFaults) {
+    StartPlannedSeries();
+  }
   m_calmStart = Now();
   m_endCheckTimer = m_timers.Every(Millis(200), 0, [this] { StopWhenDone(); });
 }
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -13,6 +13,7 @@
 #include "tests/soak/CallerSimulator.h"
 #include "tests/soak/FaultProxy.h"
 #include "tests/soak/GuaranteeChecker.h"
+#include "tests/soak/KeptConnection.h"
 #include "tests/soak/MachineStandin.h"
 #include "tests/soak/RowStoreStandin.h"
 
@@ -26,6 +27,7 @@
   std::size_t m_nodeCount = 4;
   Millis m_faultDuration{ 12'000 };
   bool m_injectsFaults = true;
+  bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
 class SoakRun
@@ -48,6 +50,8 @@
     LocalProcess m_process;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::string m_callerAddress;
+    std::unique_ptr<KeptConnection> m_keptConnection;
+    TimePoint m_startedAt{};
     bool m_isStopping = false; ///< A signal that ends the process was sent.
     TimerHandle m_restartTimer;
     TimerHandle m_resumeTimer;
@@ -63,7 +67,19 @@
   void InjectLinkFault(Node& aNode);
   void InjectStoreFault();
   void InjectMachineFault();
+  void ChangeCapacity(const std::string& aMachine);
+  /// Sends signals and changes the configuration and the settings while earlier ones take effect.
+  void StartPlannedSeries();
+  void Terminate(Node& aNode);
+  void Reload(const Node& aNode);
+  void RunAfter(Millis aDelay, std::function<void()> aFunction);
+  /// Ends the faults except for one node that stays cut off from the store.
   void EndFaults();
+  /// Checks that the units of long-running jobs run again, and begins a planned series without
+  /// other faults.
+  void CheckLongRunningUnits();
+  void OnRequestBroken(const Node& aNode, TimePoint aSentAt);
+  std::string DrawJobPath();
   /// Stops the event loop when all accepted jobs have ended or the calm phase has reached its
   /// maximum duration.
   void StopWhenDone();
@@ -73,6 +89,8 @@
 
   SoakOptions m_options;
   std::mt19937_64 m_random;
+  /// Separate, so that the pace of requests does not change the faults of a seed.
+  std::mt19937_64 m_connectionRandom;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   GuaranteeChecker m_checker;
@@ -83,6 +101,9 @@
   std::uint64_t m_configVersion = 0;
   std::uint64_t m_waveCount = 0;
   TimePoint m_calmStart{};
+  bool m_mustAnswerAll = false; ///< Only planned work goes on: every request gets a response.
+  std::map<std::string, TimerHandle> m_capacityTimers; ///< By machine.
+  std::list<TimerHandle> m_delayTimers;
   TimerHandle m_watchTimer;
   TimerHandle m_faultTimer;
   TimerHandle m_storeHealTimer;
