Job, node: no work by a registration that has not been read for two heartbeats

After an outage of the store an owner could bring a minion over its capacity: its lease is valid again before the table of registrations has been read, and it starts what has waited by the capacities from before the outage. The same holds for a node whose feed of that table is cut while its lease is renewed.

A minion renews its registration with each heartbeat, so one that has not been read for two heartbeats and half a second may not show its capacity. Such a minion gets no work until its registration is read again; the obstacle is logged as registration-old. The new unit case failed before (4 units started on a minion that had shrunk to one core).

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -23,6 +23,8 @@
   bool m_isDraining = false;
   Resources m_capacity;
   std::vector<std::string> m_labels;
+  /// From then on the registration may not show what the minion has now; zero: no limit.
+  TimePoint m_outdatedAt{};
 
   bool HasLabel(const std::string& aLabel) const
   {
--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -25,7 +25,8 @@
 {
   None,
   Unregistered,
-  NotFenced, ///< It has not answered this owner.
+  RegistrationOld, ///< Its registration has not been read again for seconds.
+  NotFenced,       ///< It has not answered this owner.
   Unrecorded,
   Cordoned,
   Draining,
@@ -75,6 +76,7 @@
   static constexpr std::array kTable{
     std::pair{ job::PlacementObstacle::None, std::string_view("none") },
     std::pair{ job::PlacementObstacle::Unregistered, std::string_view("unregistered") },
+    std::pair{ job::PlacementObstacle::RegistrationOld, std::string_view("registration-old") },
     std::pair{ job::PlacementObstacle::NotFenced, std::string_view("not-fenced") },
     std::pair{ job::PlacementObstacle::Unrecorded, std::string_view("unrecorded") },
     std::pair{ job::PlacementObstacle::Cordoned, std::string_view("cordoned") },
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -53,6 +53,10 @@
   if (!aMinion.m_isRegistered) {
     return PlacementObstacle::Unregistered;
   }
+  const TimePoint outdatedAt = aMinion.m_entry.m_outdatedAt;
+  if (outdatedAt != TimePoint{} && aNow >= outdatedAt) {
+    return PlacementObstacle::RegistrationOld;
+  }
   if (!aMinion.m_isFenced) {
     return PlacementObstacle::NotFenced;
   }
--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -37,9 +37,10 @@
     }
   }
   for (const platform::Row& row : aRows) {
-    const auto entry =
+    auto entry =
       row.m_isDeleted ? std::nullopt : platform::DecodeMinionEntry(row.m_rowId.m_key, row.m_value);
     if (entry) {
+      entry->m_outdatedAt = LeaseClockNow() + RegistrationValidity();
       Add(*entry);
     } else {
       Remove(row.m_rowId.m_key);
@@ -95,6 +96,14 @@
   }
 }
 
+Millis MinionDirectory::RegistrationValidity() const
+{
+  // One heartbeat may be missed. An older registration may not show that the capacity has shrunk:
+  // the store was down, or this node was cut off from it.
+  constexpr Millis kReadDelay{ 500 };
+  return 2 * m_context.m_settings.m_heartbeatPeriod + kReadDelay;
+}
+
 std::string MinionDirectory::ShardOf(const job::MinionEntry& aEntry) const
 {
   return m_context.m_shards.Of(aEntry.m_pool,
--- a/src/node/MinionDirectory.h
+++ b/src/node/MinionDirectory.h
@@ -32,6 +32,8 @@
 private:
   void Add(const job::MinionEntry& aEntry);
   void Remove(const std::string& aId);
+  /// How long a registration that has been read is taken for what the minion has.
+  Millis RegistrationValidity() const;
   std::string ShardOf(const job::MinionEntry& aEntry) const;
 
   const NodeContext& m_context;
--- a/tests/job/CapacityChangeTest.cpp
+++ b/tests/job/CapacityChangeTest.cpp
@@ -304,3 +304,21 @@
   fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
   CHECK(fixture.Decide().m_starts.size() == 1);
 }
+
+TEST_CASE("after an outage of the store, work waits until the registration has been read again")
+{
+  PoolFixture fixture;
+  MinionEntry entry = MakeMinion("a", 4'000);
+  entry.m_outdatedAt = fixture.m_now + Millis(3'000);
+  fixture.m_pool.UpdateMinion(entry, fixture.m_now);
+  fixture.m_pool.Minions().at("a").m_isRecorded = true;
+  fixture.Report("a", {}, {});
+  fixture.Advance(Millis(3'500));
+  fixture.Report("a", {}, {});
+  fixture.m_pool.AddJob(MakeJob("j", 4), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.empty());
+  entry.m_outdatedAt = fixture.m_now + Millis(3'000);
+  entry.m_capacity.m_cpu = 1'000;
+  fixture.m_pool.UpdateMinion(entry, fixture.m_now);
+  CHECK(fixture.StartAll().size() == 1);
+}
