Job, node: a minion that could not be called gets no work before it answers

A minion that does not guard its capacity was brought over it. An owner without a valid lease makes no calls. A minion that crashed meanwhile and was back under its id with less capacity went unnoticed: no pending call broke, its registration was still the former one, and the owner's last report of it was good. When the lease was valid again, the owner sent starts at once, and the new incarnation took them.

The session tells the scheduler when it skips a call, and the minion gets no work until its next answer, which also shows a restart.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -137,6 +137,9 @@
                      TimePoint aNow);
   /// aAskedAt: when the extension that got no answer was sent.
   void OnLeaseExtensionFailed(const std::string& aMinion, TimePoint aAskedAt);
+  /// Called while the minion cannot be called: it gets no work before its next answer, because it
+  /// may restart with another capacity unnoticed.
+  void OnContactInterrupted(const std::string& aMinion);
   /// Called when the minion has been told that ends up to a number are stored.
   void OnEndsAcknowledged(const std::string& aMinion, std::uint64_t aNumber);
   /// Called for each lease that was sent to the minion, whether it was answered or not.
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -135,6 +135,14 @@
   }
 }
 
+void PoolScheduler::OnContactInterrupted(const std::string& aMinion)
+{
+  const auto found = m_minions.find(aMinion);
+  if (found != m_minions.end()) {
+    found->second.m_missedCalls = std::max(found->second.m_missedCalls, 1);
+  }
+}
+
 void PoolScheduler::ExpireLeases(TimePoint aNow)
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -79,6 +79,7 @@
     return;
   }
   if (!m_owner.m_context.m_lease.IsValid()) {
+    m_owner.m_scheduler.OnContactInterrupted(m_minion);
     ScheduleHold(kRetryDelay);
     return;
   }
--- a/tests/job/CapacityChangeTest.cpp
+++ b/tests/job/CapacityChangeTest.cpp
@@ -322,3 +322,22 @@
   fixture.m_pool.UpdateMinion(entry, fixture.m_now);
   CHECK(fixture.StartAll().size() == 1);
 }
+
+TEST_CASE("a minion that could not be called for a while gets no work before it answers")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  fixture.m_pool.OnContactInterrupted("a");
+  CHECK(fixture.Decide().m_starts.empty());
+  SUBCASE("the same incarnation answers")
+  {
+    fixture.Report("a", {}, {});
+    CHECK(fixture.Decide().m_starts.size() == 1);
+  }
+  SUBCASE("an incarnation without a registration answers")
+  {
+    fixture.Report("a", {}, {}, 2);
+    CHECK(fixture.Decide().m_starts.empty());
+  }
+}
