--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -32,6 +32,8 @@
   NotFenced, ///< It has not answered this owner.
   Unrecorded,
   Paused,
+  UnknownRun,      ///< It runs a unit of an unknown job, so its free capacity is unknown.
+  RegistrationOld, ///< Its registration has not been read again for seconds.
   Cpu,
   Memory,
   Gpu,
@@ -76,12 +78,14 @@
   static constexpr std::array kTable{
     std::pair{ job::PlacementObstacle::None, std::string_view("none") },
     std::pair{ job::PlacementObstacle::Unregistered, std::string_view("unregistered") },
+    std::pair{ job::PlacementObstacle::RegistrationOld, std::string_view("registration-old") },
     std::pair{ job::PlacementObstacle::NotFenced, std::string_view("not-fenced") },
     std::pair{ job::PlacementObstacle::Unrecorded, std::string_view("unrecorded") },
     std::pair{ job::PlacementObstacle::Cordoned, std::string_view("cordoned") },
     std::pair{ job::PlacementObstacle::Draining, std::string_view("draining") },
     std::pair{ job::PlacementObstacle::MissedCall, std::string_view("missed-call") },
     std::pair{ job::PlacementObstacle::Paused, std::string_view("paused") },
+    std::pair{ job::PlacementObstacle::UnknownRun, std::string_view("unknown-run") },
     std::pair{ job::PlacementObstacle::Suspicious, std::string_view("suspicious") },
     std::pair{ job::PlacementObstacle::Cpu, std::string_view("cpu") },
     std::pair{ job::PlacementObstacle::Memory, std::string_view("memory") },
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -89,6 +89,13 @@
   if (aNow < aMinion.m_pausedUntil) {
     return PlacementObstacle::Paused;
   }
+  if (aMinion.m_runsOfUnknownSize > 0) {
+    return PlacementObstacle::UnknownRun;
+  }
+  const TimePoint outdatedAt = aMinion.m_entry.m_outdatedAt;
+  if (outdatedAt != TimePoint{} && aNow >= outdatedAt) {
+    return PlacementObstacle::RegistrationOld;
+  }
   return PlacementObstacle::None;
 }
 
--- a/src/job/PlacementForecast.cpp
+++ b/src/job/PlacementForecast.cpp
@@ -16,6 +16,8 @@
     case PlacementObstacle::NotFenced:
     case PlacementObstacle::Unrecorded:
     case PlacementObstacle::Paused:
+    case PlacementObstacle::UnknownRun:
+    case PlacementObstacle::RegistrationOld:
       return true;
     default:
       return false;
