Minion directory: the age of a registration counts only where minions do not guard their capacity

A minion that guards its capacity refuses what does not fit. While the table of registrations cannot be read, its owner can go on with its last capacity rather than leave the work waiting.

--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -40,7 +40,11 @@
     auto entry =
       row.m_isDeleted ? std::nullopt : platform::DecodeMinionEntry(row.m_rowId.m_key, row.m_value);
     if (entry) {
-      entry->m_outdatedAt = LeaseClockNow() + RegistrationValidity();
+      // Minions of other pools refuse what does not fit.
+      const job::PoolSpec* pool = m_context.m_deployment.FindPool(entry->m_pool);
+      if (pool && !pool->m_isGuarded) {
+        entry->m_outdatedAt = LeaseClockNow() + RegistrationValidity();
+      }
       Add(*entry);
     } else {
       Remove(row.m_rowId.m_key);
