Membership: reads the row of an owner whose registration the feed has lost

While the store discards its history, a node can miss the registration with which another node made a claim. When that node was lost before it renewed its row, this node knew only its former registration, which is older than the claim, and took its own view for stale: it waited for a row that nobody writes, never evicted the owner and never claimed the pool. Rows were read from the store only for owners without any known row.

The row of an owner is also read when the known one has another incarnation, is older than the claim and has not been renewed for the node timeout.

tests/node/MembershipTest.cpp: "a node claims the pool of an owner whose new registration it missed" failed before (no claim within 12 s).

--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -258,8 +258,13 @@
   }
   for (const auto& [pool, owner] : m_view.m_owners) {
     const std::string& name = owner.m_node;
-    if (owner.m_isReleased || m_view.m_nodes.contains(name) ||
-        !m_pendingNodeReads.insert(name).second) {
+    const auto known = m_view.m_nodes.find(name);
+    // The feed may have lost the registration with which the owner made its claim.
+    const bool isKnown =
+      known != m_view.m_nodes.end() &&
+      (known->second.m_incarnation == owner.m_incarnation ||
+       known->second.m_version > owner.m_version || job::IsLive(known->second, now));
+    if (owner.m_isReleased || isKnown || !m_pendingNodeReads.insert(name).second) {
       continue;
     }
     m_context.m_store.Read(
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -67,7 +67,8 @@
   /// Called with each answer to a poll of the table.
   void OnNodes(const std::vector<platform::Row>& aRows);
   void ApplyNodeRows(const std::vector<platform::Row>& aRows);
-  /// Reads the rows of owners that have not renewed them since this node follows the table.
+  /// Reads the rows of owners that have not renewed them since this node follows the table, or
+  /// since their claims.
   void ReadSilentOwners();
   void OnOwners(const std::vector<platform::Row>& aRows, bool aIsComplete);
   void UpdateOwnership();
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -197,3 +197,23 @@
   CHECK(fixture.IsReleased());
   CHECK(fixture.m_claimed.empty());
 }
+
+TEST_CASE("a node claims the pool of an owner whose new registration it missed")
+{
+  // The owner restarted, claimed the pool and was lost while the store discarded its history.
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.m_io.run_for(Millis(500));
+  job::NodeRow former = MakeNodeRow(false);
+  former.m_incarnation = "other-0";
+  fixture.Commit(kNodeTable, "other", job::EncodeNodeRow(former));
+  fixture.m_io.run_for(Millis(1'000));
+  fixture.m_store.PutWithoutHistory(
+    kNodeTable, "other", kSingleRowKey, job::EncodeNodeRow(MakeNodeRow(false)));
+  job::OwnerRow owner;
+  owner.m_node = "other";
+  owner.m_incarnation = "other-1";
+  fixture.Commit(kOwnerTable, kPool, job::EncodeOwnerRow(owner));
+  fixture.RunUntilClaimed(Millis(12'000));
+  CHECK(fixture.m_claimed.contains(kPool));
+}
