Membership: a late claim of a former process does not keep its pool for good

The store may write a claim seconds after it was sent, when the node that sent it has restarted. When that node was lost before it renewed its row, its row stayed older than the claim, other nodes took their view of it for stale, and none claimed the pool again.

A read of the row also records the store's version at that time. A row that was still the current one after the claim is not stale.

tests/node/MembershipTest.cpp: "a node claims a pool whose late claim names a former process of its owner" failed before (no claim within 12 s).

--- a/include/mustardtray/job/Ownership.h
+++ b/include/mustardtray/job/Ownership.h
@@ -26,6 +26,9 @@
   bool m_isEvicted = false;
   bool m_isLeaving = false;
   std::uint64_t m_version = 0;
+  /// Version of the store up to which the row is known to be the current one; 0 when only changes
+  /// were followed.
+  std::uint64_t m_checkedVersion = 0;
   std::string m_encoded;   ///< Stored value that this row was decoded from.
   TimePoint m_changedAt{}; ///< When this process last saw the row change, on its own clock.
 };
--- a/src/job/Ownership.cpp
+++ b/src/job/Ownership.cpp
@@ -34,7 +34,8 @@
 bool IsNodeViewStale(const OwnershipView& aView, const OwnerRow& aOwner)
 {
   const auto node = aView.m_nodes.find(aOwner.m_node);
-  return node == aView.m_nodes.end() || node->second.m_version < aOwner.m_version;
+  return node == aView.m_nodes.end() ||
+         std::max(node->second.m_version, node->second.m_checkedVersion) < aOwner.m_version;
 }
 
 std::map<std::string, int> CountPools(const OwnershipView& aView)
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -263,7 +263,8 @@
     const bool isKnown =
       known != m_view.m_nodes.end() &&
       (known->second.m_incarnation == owner.m_incarnation ||
-       known->second.m_version > owner.m_version || job::IsLive(known->second, now));
+       std::max(known->second.m_version, known->second.m_checkedVersion) > owner.m_version ||
+       job::IsLive(known->second, now));
     if (owner.m_isReleased || isKnown || !m_pendingNodeReads.insert(name).second) {
       continue;
     }
@@ -276,8 +277,14 @@
           return;
         }
         m_pendingNodeReads.erase(name);
-        if (aPage) {
-          ApplyNodeRows(aPage.value().m_rows);
+        if (!aPage) {
+          return;
+        }
+        ApplyNodeRows(aPage.value().m_rows);
+        // A claim that is older than this read cannot belong to a registration that follows.
+        const auto read = m_view.m_nodes.find(name);
+        if (read != m_view.m_nodes.end()) {
+          read->second.m_checkedVersion = aPage.value().m_version;
         }
       });
   }
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -217,3 +217,19 @@
   fixture.RunUntilClaimed(Millis(12'000));
   CHECK(fixture.m_claimed.contains(kPool));
 }
+
+TEST_CASE("a node claims a pool whose late claim names a former process of its owner")
+{
+  // The store wrote the claim after the owner had restarted, and then the owner was lost.
+  MembershipFixture fixture;
+  fixture.StartMembership();
+  fixture.m_io.run_for(Millis(500));
+  fixture.Commit(kNodeTable, "other", job::EncodeNodeRow(MakeNodeRow(false)));
+  fixture.m_io.run_for(Millis(500));
+  job::OwnerRow owner;
+  owner.m_node = "other";
+  owner.m_incarnation = "other-0";
+  fixture.Commit(kOwnerTable, kPool, job::EncodeOwnerRow(owner));
+  fixture.RunUntilClaimed(Millis(12'000));
+  CHECK(fixture.m_claimed.contains(kPool));
+}
