Soak: a request counts as unanswered only by time in which the soak itself ran

The check of kept connections failed for: node-1 was said to have left a request for over 0.5 s without a response when it stopped at 31.650. The soak's one thread serves all stand-ins and was itself held up: calls of node-3 and node-4 to the stand-ins of the store and of minions timed out together at 31.59 to 31.75, and a configuration reached three nodes at 31.810 at once. The time between the write and the handling of the end therefore says nothing about the node.

The soak measures how late its periodic watch is and does not count that time. The bound stays.

--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -61,6 +61,9 @@
   void AddNode(std::size_t aNumber);
   void WriteSettings(const Node& aNode, const std::string& aIp);
   void WriteConfiguration();
+  void Watch();
+  /// Returns the time by which the periodic watch is overdue.
+  Micros HeldUpNow() const;
   void RestartEndedNodes();
   void InjectFault();
   void InjectNodeFault(Node& aNode);
@@ -105,6 +108,8 @@
   std::map<std::string, TimerHandle> m_capacityTimers; ///< By machine.
   std::list<TimerHandle> m_delayTimers;
   TimerHandle m_watchTimer;
+  TimePoint m_watchedAt{};
+  std::vector<std::pair<TimePoint, Micros>> m_holdUps; ///< Ends and durations.
   TimerHandle m_faultTimer;
   TimerHandle m_storeHealTimer;
   TimerHandle m_phaseTimer;
