--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -358,7 +358,12 @@
     }
     if (cpuAfter > limit) {
       m_checker.ReportViolation(fmt::format(
-        "started beyond the capacity: {} on {}, {} of {}", name, aMachine.m_name, cpuAfter, limit));
+        "started beyond the capacity: {} on {}, {} of {}, {} ms after the minion's start",
+        name,
+        aMachine.m_name,
+        cpuAfter,
+        limit,
+        std::chrono::duration_cast<Millis>(Now() - incarnation.m_startedAt).count()));
     }
   }
   Run started;
