Placement: crashes of minions are told from losses, counted for each unit and logged

When a minion crashed, its runs were dropped and nothing in the logs named the units that had been on it. A crash is a restart of the minion or of its machine while it had runs and was not about to leave. Runs of a silent minion are only lost; a record of them is kept until the minion is seen with the same or a later start. Restarts of several minions at the same time are marked as coincident.

The log event minion-crashed names the units, at most 8, with their counts. Nothing acts on the counts yet.

--- /dev/null
+++ b/include/mustardtray/job/CrashHistory.h
@@ -0,0 +1,118 @@
+#pragma once
+
+/// Tells which work units crash the minions that run them. A crash is a restart of a minion while
+/// it had runs. The runs of a minion that stays silent are only lost: the minion may be cut off or
+/// stopped, so they are kept until its next sign of life shows whether it restarted.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "mustardtray/job/Minion.h"
+
+namespace mustardtray::job {
+
+/// Crashes under one unit, or under one gang as a whole. Stored with the job's progress.
+struct CrashCounts
+{
+  std::uint32_t m_all = 0;
+  std::uint32_t m_coincident = 0; ///< Crashes at about the same time as another minion's.
+  std::uint32_t m_alone = 0;      ///< Others, with nothing else on the minion.
+
+  bool operator==(const CrashCounts&) const = default;
+};
+
+/// Losses of a unit's runs that may turn out to be crashes.
+struct UnresolvedLosses
+{
+  std::uint32_t m_all = 0;
+  std::uint32_t m_coincident = 0;
+  TimePoint m_waitUntil{}; ///< A start that depends on the losses waits for them until then.
+};
+
+/// Unresolved losses by job, and by a unit's occurrence, step and index.
+using UnitPlace = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+using UnresolvedByJob = std::map<std::string, std::map<UnitPlace, UnresolvedLosses>>;
+
+/// A run that was on a minion when it crashed or was lost.
+struct CrashSuspect
+{
+  UnitId m_unit; ///< For a gang: its first unit.
+  std::uint32_t m_run = 0;
+  bool m_isAlone = false; ///< The minion had confirmed the run and had no other.
+};
+
+struct MinionCrash
+{
+  std::string m_minion;
+  std::string m_machine;
+  std::int64_t m_restartedAtMs = 0; ///< On the clock of the machine.
+  TimePoint m_confirmedAt{};
+  bool m_isCoincident = false; ///< Known once the crash is settled.
+  std::vector<CrashSuspect> m_suspects;
+};
+
+/// Whether the unit may run only on a minion of its own, so that the next crash shows whether the
+/// unit causes it and hits no other work.
+bool NeedsIsolation(const CrashCounts& aCounts, const UnresolvedLosses& aLosses);
+/// Whether a start has to wait until the losses are resolved, because they may be the last crashes
+/// that the unit is allowed.
+bool MustWaitForLosses(const CrashCounts& aCounts, const UnresolvedLosses& aLosses, TimePoint aNow);
+/// Whether the unit is given up. aWasAlone: the latest crash hit the unit alone.
+bool IsDeadly(const CrashCounts& aCounts, bool aWasAlone);
+/// Adds a crash to the counts of a suspect.
+void AddCrash(CrashCounts& aCounts, const MinionCrash& aCrash, const CrashSuspect& aSuspect);
+
+class CrashHistory
+{
+public:
+  /// Called when the runs of a minion are given up, although the minion may be running.
+  void OnRunsLost(const MinionEntry& aMinion, std::vector<CrashSuspect> aSuspects, TimePoint aNow);
+  /// Called when a minion has restarted and has lost these runs.
+  void OnRunsCrashed(const MinionEntry& aMinion,
+                     std::vector<CrashSuspect> aSuspects,
+                     std::int64_t aRestartedAtMs,
+                     TimePoint aNow);
+  /// Called when a minion is seen with its start time: runs lost by an earlier start have crashed.
+  void OnIncarnation(const MachineIncarnation& aSeen, TimePoint aNow);
+  /// Called when the minion itself has answered: runs lost by this start have not crashed.
+  void OnAnswer(const std::string& aMinion, std::int64_t aStartedAtMs);
+  /// Forgets runs lost by a machine that is being drained: its restart will be no crash.
+  void ForgetMachine(const std::string& aMachine);
+  /// Returns the crashes for which it is known whether other minions crashed at the same time.
+  std::vector<MinionCrash> TakeSettled(TimePoint aNow);
+  /// Returns the losses and the unsettled crashes by unit.
+  const UnresolvedByJob& Unresolved() const;
+
+private:
+  struct LostRuns
+  {
+    MinionEntry m_entry;
+    TimePoint m_lostAt{};
+    std::vector<CrashSuspect> m_suspects;
+  };
+  struct Restart
+  {
+    std::int64_t m_restartedAtMs = 0;
+    std::string m_minion;
+    TimePoint m_confirmedAt{};
+  };
+
+  void AddUnsettled(const MinionEntry& aMinion,
+                    std::vector<CrashSuspect> aSuspects,
+                    std::int64_t aRestartedAtMs,
+                    TimePoint aNow);
+  bool IsCoincident(const std::string& aMinion, std::int64_t aRestartedAtMs) const;
+  bool IsCoincident(const LostRuns& aLost) const;
+
+  std::deque<LostRuns> m_lost; ///< Oldest first.
+  std::vector<MinionCrash> m_unsettled;
+  std::deque<Restart> m_restarts; ///< Recent ones, oldest first.
+  mutable UnresolvedByJob m_unresolved;
+  mutable bool m_isUnresolvedStale = false;
+};
+
+} // namespace mustardtray::job
--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -136,6 +136,7 @@
   std::string Text() const;
   /// Returns nullopt when the text is not the name of a work unit.
   static std::optional<UnitId> Parse(std::string_view aText);
+  bool operator==(const UnitId&) const = default;
 };
 
 /// Size of the block of run numbers that each epoch has for a unit, counted from the epoch in which
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -14,6 +14,7 @@
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
 #include "mustardtray/job/ArrivalRate.h"
+#include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PoolState.h"
@@ -27,6 +28,14 @@
   Millis m_maxRunLease{ 6'000 }; ///< Longest lease that a minion grants.
 };
 
+/// A crash of a minion, for logs.
+struct CrashNotice
+{
+  MinionCrash m_crash;
+  /// Counts of each suspect after the crash; nothing for a unit that has ended since.
+  std::vector<std::optional<CrashCounts>> m_counts;
+};
+
 /// Orders and requests to send, and jobs to save.
 struct PoolOrders
 {
@@ -34,6 +43,7 @@
   std::vector<StopOrder> m_stops;
   std::vector<ThrottleOrder> m_throttles;
   std::vector<AdviceRequest> m_adviceRequests;
+  std::vector<CrashNotice> m_crashes;
   std::vector<std::string> m_unsavedJobs; ///< Jobs whose progress has to be written to the store.
 };
 
@@ -195,7 +205,16 @@
   void DropRun(MinionState& aMinion, const std::string& aUnit, TimePoint aNow);
   void DropAllRuns(MinionState& aMinion, TimePoint aNow);
   /// Resets the state of a minion that has restarted: it lost its runs and its history.
-  void ResetRestartedMinion(MinionState& aMinion, TimePoint aNow);
+  void ResetRestartedMinion(MinionState& aMinion, std::int64_t aRestartedAtMs, TimePoint aNow);
+  /// Returns the runs that may be the cause when the minion crashes now.
+  std::vector<CrashSuspect> SuspectsOn(const MinionState& aMinion) const;
+  /// Records that a minion has restarted, unless it was about to leave anyway.
+  void RecordCrash(const MinionState& aMinion, std::int64_t aRestartedAtMs, TimePoint aNow);
+  /// Counts settled crashes at their suspects.
+  void CountCrashes(TimePoint aNow);
+  std::optional<CrashCounts> CountCrash(const MinionCrash& aCrash,
+                                        const CrashSuspect& aSuspect,
+                                        TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, TimePoint aNow);
   void StopRunsOf(const Job& aJob, TimePoint aNow);
@@ -258,6 +277,7 @@
   RunTimeCorrection m_runTimeCorrection;
   ArrivalRate m_arrivals;
   AdviceCache m_advice;
+  CrashHistory m_crashHistory;
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
   PoolOrders m_orders;
 };
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Job.h"
 #include "mustardtray/job/Minion.h"
 #include "mustardtray/process/Time.h"
@@ -26,6 +27,8 @@
   std::vector<std::string> m_minions; ///< Minions that have or may have a run of the unit.
   std::uint64_t m_failedRevision = 0; ///< Job revision that includes the latest failure.
   std::string m_lastFailedOn;         ///< Minion of the latest failure.
+  CrashCounts m_crashes;              ///< Crashes of minions that ran the unit.
+  std::uint32_t m_lastCrashedRun = 0; ///< Already counted; the members of a gang share a run.
 };
 
 struct StepState
@@ -59,6 +62,7 @@
   std::vector<Millis> m_longestPathFrom; ///< By step: longest path that begins with it.
   std::uint64_t m_revision = 0;          ///< Incremented with each change that has to be stored.
   std::uint64_t m_savedRevision = 0;     ///< Latest revision in the store.
+  bool m_hasCrashes = false;             ///< A minion has crashed under one of its units.
 
   bool HasEnded() const { return m_state != JobState::Queued && m_state != JobState::Running; }
 };
@@ -86,6 +90,7 @@
   TimePoint m_throttledAt{};
   bool m_isLongRunning = false;
   bool m_isBestEffort = false;
+  bool m_isGang = false;
   Millis m_tailLatencyTarget{ 0 };
   Millis m_expectedRunTime{
     0
@@ -118,6 +123,8 @@
   TimePoint m_probeAt{};     ///< When a suspicious minion may get a unit again, as a probe.
   TimePoint m_pausedUntil{}; ///< Gets no work until then because it refused an order.
 
+  /// Whether its end is expected.
+  bool IsLeaving() const { return m_isCordoned || m_entry.m_isDraining; }
   Resources Free() const
   {
     Resources free = m_entry.m_capacity;
--- /dev/null
+++ b/src/job/CrashHistory.cpp
@@ -0,0 +1,212 @@
+#include "mustardtray/job/CrashHistory.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <set>
+
+namespace mustardtray::job {
+
+namespace {
+
+/// Minions that restart within this time of each other probably crashed for a common cause, such as
+/// a loss of power.
+constexpr Millis kCoincidence{ 300 };
+/// Time until the restarts of minions that crashed together have been seen.
+constexpr Millis kSettleTime{ 800 };
+/// Lost runs are remembered for this time.
+constexpr Millis kMaxLossAge{ 30'000 };
+/// Longest time for which a start waits for a loss to be resolved: a unit that does nothing wrong
+/// has to run again soon.
+constexpr Millis kMaxLossWait{ 2'500 };
+/// Limits the memory for minions with lost runs.
+constexpr std::size_t kMaxLostMinions = 1'000;
+/// Crashes after which a unit is isolated.
+constexpr std::uint32_t kIsolationCrashes = 2;
+/// The same when minions crashed together, which says little about a unit.
+constexpr std::uint32_t kIsolationCoincidentCrashes = 3;
+/// Crashes that hit the unit alone after which it is given up.
+constexpr std::uint32_t kDeadlyAloneCrashes = 2;
+/// Crashes of any kind after which it is given up, if the last one hit the unit alone.
+constexpr std::uint32_t kDeadlyCrashes = 4;
+/// Crashes of any kind after which it is given up: five starts are allowed.
+constexpr std::uint32_t kMaxCrashes = 5;
+
+std::uint32_t CountSuspicious(const CrashCounts& aCounts, const UnresolvedLosses& aLosses)
+{
+  return aCounts.m_all - aCounts.m_coincident + aLosses.m_all - aLosses.m_coincident;
+}
+
+bool IsAboutIsolation(const CrashCounts& aCounts, const UnresolvedLosses& aLosses)
+{
+  return CountSuspicious(aCounts, aLosses) >= kIsolationCrashes ||
+         aCounts.m_all + aLosses.m_all >= kIsolationCoincidentCrashes;
+}
+
+} // namespace
+
+bool NeedsIsolation(const CrashCounts& aCounts, const UnresolvedLosses& aLosses)
+{
+  return IsAboutIsolation(aCounts, aLosses);
+}
+
+bool MustWaitForLosses(const CrashCounts& aCounts, const UnresolvedLosses& aLosses, TimePoint aNow)
+{
+  return aLosses.m_all > 0 && aNow < aLosses.m_waitUntil && IsAboutIsolation(aCounts, aLosses);
+}
+
+bool IsDeadly(const CrashCounts& aCounts, bool aWasAlone)
+{
+  return aCounts.m_alone >= kDeadlyAloneCrashes || (aWasAlone && aCounts.m_all >= kDeadlyCrashes) ||
+         aCounts.m_all >= kMaxCrashes;
+}
+
+void AddCrash(CrashCounts& aCounts, const MinionCrash& aCrash, const CrashSuspect& aSuspect)
+{
+  ++aCounts.m_all;
+  aCounts.m_coincident += aCrash.m_isCoincident ? 1 : 0;
+  aCounts.m_alone += aSuspect.m_isAlone && !aCrash.m_isCoincident ? 1 : 0;
+}
+
+void CrashHistory::OnRunsLost(const MinionEntry& aMinion,
+                              std::vector<CrashSuspect> aSuspects,
+                              TimePoint aNow)
+{
+  if (aSuspects.empty()) {
+    return;
+  }
+  m_lost.push_back({ aMinion, aNow, std::move(aSuspects) });
+  m_isUnresolvedStale = true;
+  if (m_lost.size() > kMaxLostMinions) {
+    m_lost.pop_front();
+  }
+}
+
+void CrashHistory::OnRunsCrashed(const MinionEntry& aMinion,
+                                 std::vector<CrashSuspect> aSuspects,
+                                 std::int64_t aRestartedAtMs,
+                                 TimePoint aNow)
+{
+  AddUnsettled(aMinion, std::move(aSuspects), aRestartedAtMs, aNow);
+}
+
+void CrashHistory::OnIncarnation(const MachineIncarnation& aSeen, TimePoint aNow)
+{
+  std::vector<LostRuns> crashed;
+  std::erase_if(m_lost, [&](LostRuns& aLost) {
+    const MinionEntry& entry = aLost.m_entry;
+    const bool isSame = entry.m_id == aSeen.m_minion ||
+                        (!entry.m_machine.empty() && entry.m_machine == aSeen.m_machine);
+    const bool hasRestarted =
+      isSame && entry.m_startedAtMs != 0 && aSeen.m_startedAtMs > entry.m_startedAtMs;
+    if (hasRestarted) {
+      crashed.push_back(std::move(aLost));
+    }
+    return hasRestarted;
+  });
+  for (LostRuns& lost : crashed) {
+    m_isUnresolvedStale = true;
+    AddUnsettled(lost.m_entry, std::move(lost.m_suspects), aSeen.m_startedAtMs, aNow);
+  }
+}
+
+void CrashHistory::OnAnswer(const std::string& aMinion, std::int64_t aStartedAtMs)
+{
+  const auto erased = std::erase_if(m_lost, [&](const LostRuns& aLost) {
+    return aLost.m_entry.m_id == aMinion && aLost.m_entry.m_startedAtMs == aStartedAtMs;
+  });
+  m_isUnresolvedStale = m_isUnresolvedStale || erased > 0;
+}
+
+void CrashHistory::ForgetMachine(const std::string& aMachine)
+{
+  const auto erased = std::erase_if(
+    m_lost, [&](const LostRuns& aLost) { return aLost.m_entry.m_machine == aMachine; });
+  m_isUnresolvedStale = m_isUnresolvedStale || erased > 0;
+}
+
+void CrashHistory::AddUnsettled(const MinionEntry& aMinion,
+                                std::vector<CrashSuspect> aSuspects,
+                                std::int64_t aRestartedAtMs,
+                                TimePoint aNow)
+{
+  while (!m_restarts.empty() && aNow - m_restarts.front().m_confirmedAt > 2 * kSettleTime) {
+    m_restarts.pop_front();
+  }
+  m_restarts.push_back({ aRestartedAtMs, aMinion.m_id, aNow });
+  m_isUnresolvedStale = true;
+  if (!aSuspects.empty()) {
+    m_unsettled.push_back(
+      { aMinion.m_id, aMinion.m_machine, aRestartedAtMs, aNow, false, std::move(aSuspects) });
+  }
+}
+
+bool CrashHistory::IsCoincident(const std::string& aMinion, std::int64_t aRestartedAtMs) const
+{
+  return std::any_of(m_restarts.begin(), m_restarts.end(), [&](const Restart& aOther) {
+    return aOther.m_minion != aMinion &&
+           std::abs(aOther.m_restartedAtMs - aRestartedAtMs) <= kCoincidence.count();
+  });
+}
+
+bool CrashHistory::IsCoincident(const LostRuns& aLost) const
+{
+  return std::any_of(m_lost.begin(), m_lost.end(), [&](const LostRuns& aOther) {
+    return &aOther != &aLost && aOther.m_lostAt - aLost.m_lostAt <= kCoincidence &&
+           aLost.m_lostAt - aOther.m_lostAt <= kCoincidence;
+  });
+}
+
+std::vector<MinionCrash> CrashHistory::TakeSettled(TimePoint aNow)
+{
+  while (!m_lost.empty() && aNow - m_lost.front().m_lostAt > kMaxLossAge) {
+    m_lost.pop_front();
+    m_isUnresolvedStale = true;
+  }
+  std::vector<MinionCrash> settled;
+  std::erase_if(m_unsettled, [&](MinionCrash& aCrash) {
+    if (aNow - aCrash.m_confirmedAt < kSettleTime) {
+      return false;
+    }
+    aCrash.m_isCoincident = IsCoincident(aCrash.m_minion, aCrash.m_restartedAtMs);
+    m_isUnresolvedStale = true;
+    settled.push_back(std::move(aCrash));
+    return true;
+  });
+  return settled;
+}
+
+const UnresolvedByJob& CrashHistory::Unresolved() const
+{
+  if (!m_isUnresolvedStale) {
+    return m_unresolved;
+  }
+  m_isUnresolvedStale = false;
+  m_unresolved.clear();
+  std::set<std::pair<std::string, std::uint32_t>> seen; // Members of a gang share a run.
+  const auto add = [&](const CrashSuspect& aSuspect, bool aIsCoincident, TimePoint aWaitUntil) {
+    const UnitId& unit = aSuspect.m_unit;
+    if (!seen.emplace(unit.Text(), aSuspect.m_run).second) {
+      return;
+    }
+    UnresolvedLosses& losses =
+      m_unresolved[unit.m_job][{ unit.m_occurrence, unit.m_step, unit.m_index }];
+    ++losses.m_all;
+    losses.m_coincident += aIsCoincident ? 1 : 0;
+    losses.m_waitUntil = std::max(losses.m_waitUntil, aWaitUntil);
+  };
+  for (const MinionCrash& crash : m_unsettled) {
+    const bool isCoincident = IsCoincident(crash.m_minion, crash.m_restartedAtMs);
+    for (const CrashSuspect& suspect : crash.m_suspects) {
+      add(suspect, isCoincident, crash.m_confirmedAt + 2 * kSettleTime);
+    }
+  }
+  for (const LostRuns& lost : m_lost) {
+    const bool isCoincident = IsCoincident(lost);
+    for (const CrashSuspect& suspect : lost.m_suspects) {
+      add(suspect, isCoincident, lost.m_lostAt + kMaxLossWait);
+    }
+  }
+  return m_unresolved;
+}
+
+} // namespace mustardtray::job
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -74,6 +74,7 @@
     BeginDueOccurrences(*job, aNow, aWallNow);
   }
   ExpireLeases(aNow);
+  CountCrashes(aNow);
   ResendStops(aNow);
   DrainCordoned(aNow);
   PlaceQueued(aNow);
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -21,8 +21,9 @@
   const bool hasRestarted =
     minion.m_entry.m_startedAtMs != 0 && aEntry.m_startedAtMs > minion.m_entry.m_startedAtMs;
   if (hasRestarted) {
-    ResetRestartedMinion(minion, aNow);
+    ResetRestartedMinion(minion, aEntry.m_startedAtMs, aNow);
   }
+  m_crashHistory.OnIncarnation({ aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs }, aNow);
   const std::int64_t startedAtMs = std::max(minion.m_entry.m_startedAtMs, aEntry.m_startedAtMs);
   minion.m_entry = aEntry;
   minion.m_entry.m_startedAtMs = startedAtMs;
@@ -31,8 +32,11 @@
   minion.m_isAwaitingMaintenance = m_restrictions.m_awaitingMaintenance.contains(aEntry.m_machine);
 }
 
-void PoolScheduler::ResetRestartedMinion(MinionState& aMinion, TimePoint aNow)
+void PoolScheduler::ResetRestartedMinion(MinionState& aMinion,
+                                         std::int64_t aRestartedAtMs,
+                                         TimePoint aNow)
 {
+  RecordCrash(aMinion, aRestartedAtMs, aNow);
   DropAllRuns(aMinion, aNow);
   m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_lastProcessedEnd = 0;
@@ -55,12 +59,14 @@
 
 void PoolScheduler::OnMachineIncarnation(const MachineIncarnation& aLatest, TimePoint aNow)
 {
+  m_crashHistory.OnIncarnation(aLatest, aNow);
   for (auto& [id, minion] : m_minions) {
     const MinionEntry& entry = minion.m_entry;
     const bool isReplaced = id != aLatest.m_minion && entry.m_machine == aLatest.m_machine &&
                             !entry.m_machine.empty() && entry.m_startedAtMs != 0 &&
                             entry.m_startedAtMs < aLatest.m_startedAtMs;
     if (isReplaced) {
+      RecordCrash(minion, aLatest.m_startedAtMs, aNow);
       DropAllRuns(minion, aNow);
       m_awaited.erase(id);
       minion.m_isRegistered = false;
@@ -135,6 +141,9 @@
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
     if (IsLost(minion, aNow)) {
+      if (!minion.IsLeaving()) {
+        m_crashHistory.OnRunsLost(minion.m_entry, SuspectsOn(minion), aNow);
+      }
       DropAllRuns(minion, aNow);
       m_awaited.erase(entry->first);
     }
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -106,10 +106,12 @@
   const bool hasRestarted = aReport.m_startedAtMs > minion.m_entry.m_startedAtMs;
   if (hasRestarted) {
     if (minion.m_entry.m_startedAtMs != 0) {
-      ResetRestartedMinion(minion, aNow);
+      ResetRestartedMinion(minion, aReport.m_startedAtMs, aNow);
     }
     minion.m_entry.m_startedAtMs = aReport.m_startedAtMs;
   }
+  m_crashHistory.OnIncarnation({ minion.m_entry.m_machine, aMinion, aReport.m_startedAtMs }, aNow);
+  m_crashHistory.OnAnswer(aMinion, aReport.m_startedAtMs);
   minion.m_lastAnswerAt = aNow;
   minion.m_missedCalls = 0;
   minion.m_isFenced = true;
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -59,6 +59,7 @@
     run.m_reserved = aStep->Reserved();
     run.m_isLongRunning = aStep->m_isLongRunning;
     run.m_isBestEffort = aStep->m_isBestEffort;
+    run.m_isGang = aStep->m_isGang;
     run.m_tailLatencyTarget = aStep->m_tailLatencyTarget;
   }
   return run;
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -85,6 +85,7 @@
   void DecideNow();
   /// Logs the steps with waiting units, and why they wait.
   void LogWaiting() const;
+  void LogCrash(const job::CrashNotice& aNotice) const;
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
   void SendStop(const job::StopOrder& aOrder);
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -1,5 +1,7 @@
 #include "node/PoolOwner.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "mustardtray/process/Log.h"
@@ -13,6 +15,8 @@
 constexpr Millis kOrderTimeout{ 500 };
 /// Steps with waiting units that are logged at a time.
 constexpr std::size_t kMaxLoggedSteps = 3;
+/// Units that are logged with a crash of their minion.
+constexpr std::size_t kMaxLoggedSuspects = 8;
 /// The advisor handles this node's requests one at a time and needs time for each minion named.
 constexpr Millis kAdviceTimeout{ 2'500 };
 
@@ -76,9 +80,48 @@
   for (const job::AdviceRequest& question : aOrders.m_adviceRequests) {
     RequestAdvice(question);
   }
+  for (const job::CrashNotice& notice : aOrders.m_crashes) {
+    LogCrash(notice);
+  }
   SaveJobs(aOrders.m_unsavedJobs);
 }
 
+void PoolOwner::LogCrash(const job::CrashNotice& aNotice) const
+{
+  const job::MinionCrash& crash = aNotice.m_crash;
+  std::string suspects;
+  for (std::size_t i = 0; i < std::min(crash.m_suspects.size(), kMaxLoggedSuspects); ++i) {
+    const job::CrashSuspect& suspect = crash.m_suspects[i];
+    const job::CrashCounts counts = aNotice.m_counts[i].value_or(job::CrashCounts{});
+    suspects += fmt::format("{}{}/{}:{}/{}/{}",
+                            suspects.empty() ? "" : ",",
+                            suspect.m_unit.Text(),
+                            suspect.m_run,
+                            counts.m_all,
+                            counts.m_coincident,
+                            counts.m_alone);
+  }
+  Log(LogCategory::Placement,
+      LogLevel::Warning,
+      "minion-crashed",
+      "pool",
+      Pool(),
+      "minion",
+      crash.m_minion,
+      "machine",
+      crash.m_machine,
+      "restarted-at-ms",
+      crash.m_restartedAtMs,
+      "coincident",
+      crash.m_isCoincident,
+      "units",
+      crash.m_suspects.size(),
+      "alone",
+      crash.m_suspects.front().m_isAlone,
+      "suspects", // Unit and run, and crashes: all, coincident, alone.
+      suspects);
+}
+
 void PoolOwner::RequestAdvice(const job::AdviceRequest& aQuestion)
 {
   const TimePoint askedAt = LeaseClockNow();
