Placement: a unit that crashes its minions is isolated and given up

A crash of a minion counted for nothing at its units: the runs were dropped and waited again, all at the same moment, and went on together to the next minion. Neither max_attempts nor anything else ended that.

The counts of crashes now decide. Suspects are spread over minions; after two unexplained crashes or losses a unit waits for a minion of its own, which is emptied for it; after two crashes that it had to itself, or four crashes of which one was so, it is given up and its job fails. Common causes are told apart: minions that restart together, units that had run for a while beside one that had just started, units whose companion has been given up. Counts are stored with the job's progress and survive a takeover; from the second crash on the unit starts only when the store has its count.

--- a/include/mustardtray/job/CrashHistory.h
+++ b/include/mustardtray/job/CrashHistory.h
@@ -19,8 +19,10 @@
 struct CrashCounts
 {
   std::uint32_t m_all = 0;
-  std::uint32_t m_coincident = 0; ///< Crashes at about the same time as another minion's.
-  std::uint32_t m_alone = 0;      ///< Others, with nothing else on the minion.
+  /// Those that probably had another cause: other minions crashed at about the same time, a unit
+  /// that ran on the minion was given up, or it had run for a while and others had just started.
+  std::uint32_t m_explained = 0;
+  std::uint32_t m_alone = 0; ///< Others, with no other likely cause on the minion.
 
   bool operator==(const CrashCounts&) const = default;
 };
@@ -29,8 +31,8 @@
 struct UnresolvedLosses
 {
   std::uint32_t m_all = 0;
-  std::uint32_t m_coincident = 0;
-  TimePoint m_waitUntil{}; ///< A start that depends on the losses waits for them until then.
+  std::uint32_t m_explained = 0; ///< Those that probably had another cause.
+  TimePoint m_waitUntil{};       ///< A start that depends on the losses waits for them until then.
 };
 
 /// Unresolved losses by job, and by a unit's occurrence, step and index.
@@ -42,7 +44,8 @@
 {
   UnitId m_unit; ///< For a gang: its first unit.
   std::uint32_t m_run = 0;
-  bool m_isAlone = false; ///< The minion had confirmed the run and had no other.
+  bool m_isAlone = false;    ///< The minion had no other run, or none that had started lately.
+  bool m_isUnlikely = false; ///< It had run for a while when other runs had started lately.
 };
 
 struct MinionCrash
@@ -80,12 +83,13 @@
   void OnIncarnation(const MachineIncarnation& aSeen, TimePoint aNow);
   /// Called when the minion itself has answered: runs lost by this start have not crashed.
   void OnAnswer(const std::string& aMinion, std::int64_t aStartedAtMs);
-  /// Forgets runs lost by a machine that is being drained: its restart will be no crash.
-  void ForgetMachine(const std::string& aMachine);
   /// Returns the crashes for which it is known whether other minions crashed at the same time.
   std::vector<MinionCrash> TakeSettled(TimePoint aNow);
   /// Returns the losses and the unsettled crashes by unit.
   const UnresolvedByJob& Unresolved() const;
+  /// Called when a unit is given up: returns the units that were on a minion with it when that
+  /// crashed, once for each crash that nothing else explains.
+  std::vector<CrashSuspect> OnGivenUp(const UnitId& aUnit);
 
 private:
   struct LostRuns
@@ -110,7 +114,8 @@
 
   std::deque<LostRuns> m_lost; ///< Oldest first.
   std::vector<MinionCrash> m_unsettled;
-  std::deque<Restart> m_restarts; ///< Recent ones, oldest first.
+  std::deque<MinionCrash> m_settled; ///< Recent ones that are unexplained, oldest first.
+  std::deque<Restart> m_restarts;    ///< Recent ones, oldest first.
   mutable UnresolvedByJob m_unresolved;
   mutable bool m_isUnresolvedStale = false;
 };
--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -14,10 +14,15 @@
 struct PlacementRequest
 {
   const StepSpec* m_step = nullptr;
+  const std::string* m_job = nullptr;
   std::string m_unitPrefix; ///< Common prefix of the unit names of the step and occurrence.
   /// Minion of the unit's latest failure; used only when no other fits.
   const std::string* m_lastFailedMinion = nullptr;
   const AdviceCache* m_advice = nullptr; ///< If set, only minions with a ticket are used.
+  bool m_isIsolated = false;             ///< Only minions without runs are used.
+  bool m_isSuspect = false;        ///< It may crash its minion; kept apart from others if possible.
+  bool m_ignoresHold = false;      ///< It may use a minion that is held for another unit.
+  bool m_ignoresIsolation = false; ///< It may share a minion with an isolated run.
 };
 
 /// Why a minion cannot get a unit at present: the first check that failed.
@@ -32,6 +37,9 @@
   MissedCall,
   Paused,
   Suspicious,
+  Isolated, ///< It runs a unit that may crash it.
+  Held,     ///< It is being emptied for such a unit.
+  NotEmpty, ///< The unit may crash it, and other work is on it.
   Cpu,
   Memory,
   Gpu,
@@ -47,6 +55,9 @@
                                const PlacementRequest& aRequest,
                                TimePoint aNow);
 
+/// Whether the minion could run the unit if it were empty.
+bool IsEligible(const MinionState& aMinion, const PlacementRequest& aRequest, TimePoint aNow);
+
 /// Returns the minion for the unit, or nullptr when it fits on none at present.
 MinionState* ChooseMinion(MinionTable& aMinions, const PlacementRequest& aRequest, TimePoint aNow);
 
@@ -81,6 +92,9 @@
     std::pair{ job::PlacementObstacle::MissedCall, std::string_view("missed-call") },
     std::pair{ job::PlacementObstacle::Paused, std::string_view("paused") },
     std::pair{ job::PlacementObstacle::Suspicious, std::string_view("suspicious") },
+    std::pair{ job::PlacementObstacle::Isolated, std::string_view("isolated") },
+    std::pair{ job::PlacementObstacle::Held, std::string_view("held") },
+    std::pair{ job::PlacementObstacle::NotEmpty, std::string_view("not-empty") },
     std::pair{ job::PlacementObstacle::Cpu, std::string_view("cpu") },
     std::pair{ job::PlacementObstacle::Memory, std::string_view("memory") },
     std::pair{ job::PlacementObstacle::Gpu, std::string_view("gpu") },
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -32,6 +32,8 @@
 struct CrashNotice
 {
   MinionCrash m_crash;
+  std::vector<std::string> m_isolatedUnits; ///< Suspects that are isolated from now on.
+  std::vector<std::string> m_deadlyUnits;   ///< Suspects that are given up.
   /// Counts of each suspect after the crash; nothing for a unit that has ended since.
   std::vector<std::optional<CrashCounts>> m_counts;
 };
@@ -215,6 +217,30 @@
   std::optional<CrashCounts> CountCrash(const MinionCrash& aCrash,
                                         const CrashSuspect& aSuspect,
                                         TimePoint aNow);
+  /// Called when another unit has been given up for a crash that was counted at the suspect.
+  void ExplainCrash(const CrashSuspect& aSuspect);
+  /// Returns the unit that holds the crash counts: the first one of a gang.
+  static UnitId CountedUnit(const Job& aJob, const UnitId& aId);
+  UnresolvedLosses LossesOf(const UnitId& aCounted) const;
+  const CrashCounts& CrashesOf(const Job& aJob, const UnitId& aCounted) const;
+  /// Whether a minion crashed under the unit or may have, and nothing explains it.
+  bool IsSuspect(const Job& aJob, const UnitId& aId) const;
+  /// Whether a run of the unit must have its minion for itself.
+  bool MustIsolate(const Job& aJob, const UnitId& aId) const;
+  /// Returns the most crashes and losses of the step's waiting units that need isolation; 0 when
+  /// none does.
+  std::uint32_t CrashesOfIsolatedUnit(const QueuedStep& aQueued) const;
+  /// Sets the constraints that follow from crashes; returns whether the unit may start now.
+  bool ApplyCrashes(PlacementRequest& aRequest,
+                    const QueuedStep& aQueued,
+                    std::uint32_t aIndex,
+                    TimePoint aNow);
+  /// Reserves minions that can soon be empty for the units that need isolation.
+  void HoldMinionsForIsolation(TimePoint aNow);
+  /// Lets other units share the minion with an isolated run that has lasted for a while.
+  static void EndIsolation(MinionState& aMinion, TimePoint aNow);
+  /// Forgets the crashes under a long-running unit that has been running for long enough.
+  void ForgetCrashesIfStable(Job& aJob, const UnitId& aId, const Run& aRun, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, TimePoint aNow);
   void StopRunsOf(const Job& aJob, TimePoint aNow);
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -29,6 +29,7 @@
   std::string m_lastFailedOn;         ///< Minion of the latest failure.
   CrashCounts m_crashes;              ///< Crashes of minions that ran the unit.
   std::uint32_t m_lastCrashedRun = 0; ///< Already counted; the members of a gang share a run.
+  TimePoint m_isolationSoughtAt{};    ///< Since when it waits for a minion of its own.
 };
 
 struct StepState
@@ -91,6 +92,8 @@
   bool m_isLongRunning = false;
   bool m_isBestEffort = false;
   bool m_isGang = false;
+  bool m_isSuspect = false;  ///< A minion crashed under the unit, and nothing explains it.
+  bool m_isIsolated = false; ///< Nothing else is placed on its minion.
   Millis m_tailLatencyTarget{ 0 };
   Millis m_expectedRunTime{
     0
@@ -110,7 +113,9 @@
   TimePoint m_cordonedAt{};   ///< When it was cordoned.
   bool m_isAwaitingMaintenance = false; ///< Will be cordoned soon.
   bool m_isRecorded = false;            ///< The store has a record that work may be on it.
+  std::string m_heldForJob;             ///< Being emptied for a unit that needs isolation.
   std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
+  int m_isolatedRuns = 0;               ///< Runs with m_isIsolated.
   Resources m_used;
   TimePoint m_lastAnswerAt{};
   TimePoint m_leaseEnd{};               ///< Latest time at which its runs can still hold a lease.
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -1,5 +1,7 @@
 #include "mustardtray/job/Placement.h"
 
+#include <algorithm>
+
 namespace mustardtray::job {
 
 namespace {
@@ -14,6 +16,9 @@
   10.0; ///< Not in the data's rack: the unit takes far_x times as long.
 constexpr double kMaintenancePenalty = 20.0;   ///< The unit would soon have to be moved again.
 constexpr double kRecentFailurePenalty = 50.0; ///< The unit's latest failure was on this minion.
+constexpr double kOtherWorkPenalty = 2.0;      ///< The unit may crash the minion.
+/// For each other such unit on the minion: the next crash has to leave fewer suspects.
+constexpr double kOtherSuspectPenalty = 3.0;
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
 
@@ -28,6 +33,14 @@
   return count;
 }
 
+int CountSuspects(const MinionState& aMinion)
+{
+  return static_cast<int>(
+    std::count_if(aMinion.m_runs.begin(), aMinion.m_runs.end(), [](const auto& aEntry) {
+      return aEntry.second.m_isSuspect;
+    }));
+}
+
 /// Returns the share of the minion's capacity that stays free after placing the unit. Small values
 /// are preferred, so that whole minions stay free for wide steps and for moves.
 double FreeShareAfter(const MinionState& aMinion, const Resources& aNeed)
@@ -85,6 +98,17 @@
       obstacle != PlacementObstacle::None) {
     return obstacle;
   }
+  if (aRequest.m_isIsolated && !aMinion.m_runs.empty()) {
+    return PlacementObstacle::NotEmpty;
+  }
+  if (aMinion.m_isolatedRuns > 0 && !aRequest.m_ignoresIsolation) {
+    return PlacementObstacle::Isolated;
+  }
+  const bool isHeldForUnit =
+    aRequest.m_isIsolated && aRequest.m_job && aMinion.m_heldForJob == *aRequest.m_job;
+  if (!aMinion.m_heldForJob.empty() && !isHeldForUnit && !aRequest.m_ignoresHold) {
+    return PlacementObstacle::Held;
+  }
   const StepSpec& step = *aRequest.m_step;
   const Resources need = step.Reserved();
   const Resources free = aMinion.Free();
@@ -111,6 +135,16 @@
   return PlacementObstacle::None;
 }
 
+bool IsEligible(const MinionState& aMinion, const PlacementRequest& aRequest, TimePoint aNow)
+{
+  const StepSpec& step = *aRequest.m_step;
+  const bool hasTicket =
+    !aRequest.m_advice ||
+    aRequest.m_advice->FindTicket(StepName(aRequest.m_unitPrefix), aMinion.m_entry.m_id, aNow);
+  return hasTicket && aMinion.m_entry.m_capacity.Fits(step.Reserved()) &&
+         (step.m_requiredLabel.empty() || aMinion.m_entry.HasLabel(step.m_requiredLabel));
+}
+
 bool AcceptsWork(const MinionState& aMinion, TimePoint aNow)
 {
   return FindObstacle(aMinion, aNow) == PlacementObstacle::None;
@@ -134,6 +168,9 @@
     if (!step.m_dataRack.empty() && !minion.m_entry.HasLabel(step.m_dataRack)) {
       score += kRemoteDataPenalty;
     }
+    if (aRequest.m_isSuspect && !minion.m_runs.empty()) {
+      score += kOtherWorkPenalty + kOtherSuspectPenalty * CountSuspects(minion);
+    }
     if (aRequest.m_lastFailedMinion && *aRequest.m_lastFailedMinion == id) {
       score += kRecentFailurePenalty;
     }
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -91,16 +91,18 @@
     m_queued.begin(), m_queued.end(), [](const QueuedStep& aLeft, const QueuedStep& aRight) {
       return aLeft.m_rank < aRight.m_rank;
     });
+  HoldMinionsForIsolation(aNow);
   std::vector<QueuedStep> remaining;
   std::vector<Resources> unplaceable;
   for (QueuedStep& queued : m_queued) {
     // A step that needs at least as much as one that did not fit cannot be placed either.
     const StepSpec& spec = queued.Spec();
     const Resources need = spec.Reserved();
+    const bool hasIsolatedUnit = CrashesOfIsolatedUnit(queued) > 0;
     const bool isUnplaceable =
-      std::any_of(unplaceable.begin(), unplaceable.end(), [&](const Resources& aTried) {
-        return need.Fits(aTried);
-      });
+      !hasIsolatedUnit && std::any_of(unplaceable.begin(),
+                                      unplaceable.end(),
+                                      [&](const Resources& aTried) { return need.Fits(aTried); });
     if (isUnplaceable) {
       remaining.push_back(queued);
       continue;
@@ -119,7 +121,7 @@
       }
       const bool isUnconstrained = !isBlocked && !needsAdvice && !spec.m_isGang &&
                                    spec.m_requiredLabel.empty() && spec.m_maxPerMinion == 0 &&
-                                   !HasUnsavedFailure(queued);
+                                   !hasIsolatedUnit && !HasUnsavedFailure(queued);
       if (isUnconstrained) {
         unplaceable.push_back(need);
       }
@@ -133,6 +135,7 @@
   const JobRecord& record = aQueued.m_job->m_record;
   PlacementRequest request;
   request.m_step = &aQueued.Spec();
+  request.m_job = &record.m_id;
   request.m_unitPrefix = StepPrefix(record.m_id, aQueued.m_occurrence, aQueued.m_step);
   request.m_advice = record.m_queuePolicy.m_needsAdvice ? &m_advice : nullptr;
   return request;
@@ -178,6 +181,8 @@
   Job& job = *aQueued.m_job;
   StepState& step = aQueued.State();
   PlacementRequest request = RequestFor(aQueued);
+  const bool hasIsolatedUnit = CrashesOfIsolatedUnit(aQueued) > 0;
+  bool isFull = false; // No minion accepts a unit that may share it.
   bool isComplete = true;
   for (std::uint32_t i = 0; i < step.m_units.size(); ++i) {
     Unit& unit = step.m_units[i];
@@ -190,10 +195,20 @@
       continue;
     }
     request.m_lastFailedMinion = unit.m_lastFailedOn.empty() ? nullptr : &unit.m_lastFailedOn;
+    const bool canStart = ApplyCrashes(request, aQueued, i, aNow);
+    if (!canStart || (isFull && !request.m_isIsolated)) {
+      isComplete = false;
+      continue;
+    }
     MinionState* minion = ChooseMinion(m_minions, request, aNow);
-    if (!minion) {
+    if (!minion && !hasIsolatedUnit) {
       return false;
     }
+    if (!minion) {
+      isFull = isFull || !request.m_isIsolated;
+      isComplete = false;
+      continue;
+    }
     StartUnit(aQueued, i, *minion, NextRun(job, unit), aNow);
   }
   return isComplete;
@@ -207,7 +222,10 @@
   if (step.IsDone()) {
     return true;
   }
-  const PlacementRequest request = RequestFor(aQueued);
+  PlacementRequest request = RequestFor(aQueued);
+  if (!ApplyCrashes(request, aQueued, 0, aNow)) {
+    return false;
+  }
   std::uint32_t run = 0;
   std::string checkpoint;
   for (Unit& unit : step.m_units) {
@@ -252,7 +270,11 @@
   Unit& unit = aQueued.State().m_units[aIndex];
   const UnitId id{ job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step, aIndex };
   const std::string name = id.Text();
-  Run& run = AddRun(aMinion, &unit, name, MakeRun(id, aRun, &spec, aNow));
+  Run newRun = MakeRun(id, aRun, &spec, aNow);
+  newRun.m_isSuspect = IsSuspect(job, id);
+  newRun.m_isIsolated = MustIsolate(job, id);
+  unit.m_isolationSoughtAt = {};
+  Run& run = AddRun(aMinion, &unit, name, std::move(newRun));
   run.m_expectedRunTime =
     Scaled(spec.m_estimate, m_runTimeCorrection.Factor(job.m_record.m_queuePolicy.m_queue));
   std::string ticket;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -265,7 +265,9 @@
       // This is a run of an earlier owner or of an order that was carried out late.
       const bool isWanted = unit && !unit->m_isDone && unit->m_minions.empty() && !job->HasEnded();
       const StepSpec* spec = unit ? &job->m_record.m_spec.m_steps[id->m_step] : nullptr;
-      Run& adopted = AddRun(aMinion, unit, row.m_unit, MakeRun(*id, row.m_run, spec, aNow));
+      Run run = MakeRun(*id, row.m_run, spec, aNow);
+      run.m_isIsolated = unit && MustIsolate(*job, *id);
+      Run& adopted = AddRun(aMinion, unit, row.m_unit, std::move(run));
       adopted.m_phase = RunPhase::Running;
       adopted.m_confirmedAt = aNow;
       // The run's lease is unknown, so the longest possible one is assumed.
@@ -289,6 +291,9 @@
     if (unit && !row.m_checkpoint.empty()) {
       unit->m_checkpoint = row.m_checkpoint;
     }
+    if (unit && run.m_isLongRunning && job->m_hasCrashes) {
+      ForgetCrashesIfStable(*job, *id, run, aNow);
+    }
   }
   std::vector<std::string> unlisted;
   for (const auto& [name, run] : aMinion.m_runs) {
@@ -306,6 +311,7 @@
 Run& PoolScheduler::AddRun(MinionState& aMinion, Unit* aUnit, const std::string& aName, Run aRun)
 {
   aMinion.m_used += aRun.m_reserved;
+  aMinion.m_isolatedRuns += aRun.m_isIsolated ? 1 : 0;
   if (aUnit) {
     aUnit->m_minions.push_back(aMinion.m_entry.m_id);
     aUnit->m_lastRun = std::max(aUnit->m_lastRun, aRun.m_run);
@@ -321,6 +327,7 @@
   }
   const UnitId id = entry->second.m_unit;
   aMinion.m_used -= entry->second.m_reserved;
+  aMinion.m_isolatedRuns -= entry->second.m_isIsolated ? 1 : 0;
   aMinion.m_runs.erase(entry);
   Job* job = nullptr;
   Unit* unit = FindUnit(id, &job);
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -74,6 +74,7 @@
   json occurrences = json::object();
   json checkpoints = json::object();
   json failedRuns = json::object();
+  json crashes = json::object();
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     json steps = json::array();
     for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
@@ -86,6 +87,12 @@
         if (!step.m_units[i].m_isDone && step.m_units[i].m_lastFailedRun > 0) {
           failedRuns[fmt::format("{}.{}.{}", number, s, i)] = step.m_units[i].m_lastFailedRun;
         }
+        const CrashCounts& counts = step.m_units[i].m_crashes;
+        if (!step.m_units[i].m_isDone && counts.m_all > 0) {
+          crashes[fmt::format("{}.{}.{}", number, s, i)] = { counts.m_all,
+                                                             counts.m_explained,
+                                                             counts.m_alone };
+        }
       }
     }
     occurrences[std::to_string(number)] = std::move(steps);
@@ -98,6 +105,9 @@
   if (!failedRuns.empty()) {
     out["failed"] = std::move(failedRuns);
   }
+  if (!crashes.empty()) {
+    out["crashed"] = std::move(crashes);
+  }
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -158,6 +168,12 @@
       aUnit.m_lastFailedRun = aValue.get<std::uint32_t>();
       aUnit.m_lastRun = aUnit.m_lastFailedRun;
     });
+    forEachUnit("crashed", [&](Unit& aUnit, const json& aValue) {
+      aUnit.m_crashes = { aValue.at(0).get<std::uint32_t>(),
+                          aValue.at(1).get<std::uint32_t>(),
+                          aValue.at(2).get<std::uint32_t>() };
+      aJob.m_hasCrashes = true;
+    });
     aJob.m_hasStarted = aJob.m_state == JobState::Running;
   } catch (const std::exception& fault) {
     return Error{ ErrorKind::Invalid, "decode job progress", aJob.m_record.m_id, fault.what() };
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -98,7 +98,7 @@
                             suspect.m_unit.Text(),
                             suspect.m_run,
                             counts.m_all,
-                            counts.m_coincident,
+                            counts.m_explained,
                             counts.m_alone);
   }
   Log(LogCategory::Placement,
@@ -118,8 +118,14 @@
       crash.m_suspects.size(),
       "alone",
       crash.m_suspects.front().m_isAlone,
-      "suspects", // Unit and run, and crashes: all, coincident, alone.
+      "suspects", // Unit and run, and crashes: all, explained, alone.
       suspects);
+  for (const std::string& unit : aNotice.m_isolatedUnits) {
+    Log(LogCategory::Placement, LogLevel::Info, "unit-isolated", "pool", Pool(), "unit", unit);
+  }
+  for (const std::string& unit : aNotice.m_deadlyUnits) {
+    Log(LogCategory::Placement, LogLevel::Warning, "unit-given-up", "pool", Pool(), "unit", unit);
+  }
 }
 
 void PoolOwner::RequestAdvice(const job::AdviceRequest& aQuestion)
--- /dev/null
+++ b/tests/job/UnitCrashTest.cpp
@@ -0,0 +1,497 @@
+#include <doctest/doctest.h>
+
+#include "PoolFixture.h"
+
+namespace mustardtray::job {
+
+namespace {
+
+constexpr Millis kRestartTime{ 2'000 };
+/// Until restarts at the same time have been told from a single one.
+constexpr Millis kSettleTime{ 900 };
+
+struct CrashFixture : PoolFixture
+{
+  std::int64_t m_startMs = 1;
+  std::map<std::string, std::int64_t> m_starts;
+  std::map<std::string, int> m_ordered; ///< Starts by unit.
+
+  std::vector<StartOrder> Start()
+  {
+    std::vector<StartOrder> orders = StartAll();
+    for (const StartOrder& order : orders) {
+      ++m_ordered[order.m_unit];
+    }
+    return orders;
+  }
+
+  /// The minions restart at the same time under their ids.
+  void Crash(const std::vector<std::string>& aMinions)
+  {
+    Advance(kRestartTime);
+    m_startMs += 10'000;
+    for (const std::string& minion : aMinions) {
+      m_starts[minion] = m_startMs;
+      Report(minion, {}, {}, m_startMs);
+    }
+  }
+
+  void CrashAndSettle(const std::vector<std::string>& aMinions)
+  {
+    Crash(aMinions);
+    Advance(kSettleTime);
+    Start();
+    SaveAll();
+  }
+
+  std::string MinionOf(const std::string& aUnit)
+  {
+    for (const auto& [id, minion] : m_pool.Minions()) {
+      if (minion.m_runs.contains(aUnit)) {
+        return id;
+      }
+    }
+    return {};
+  }
+
+  /// Crashes the minion of a unit until the job has ended or the unit does not start again.
+  void CrashUntilGivenUp(const std::string& aUnit)
+  {
+    for (int i = 0; i < 60; ++i) {
+      Start();
+      const std::string minion = MinionOf(aUnit);
+      if (minion.empty()) {
+        Advance(Millis(500));
+        continue;
+      }
+      CrashAndSettle({ minion });
+      Start();
+    }
+  }
+
+  JobState StateOf(const std::string& aJob)
+  {
+    SaveAll();
+    return m_pool.ReportedState(aJob).value();
+  }
+
+  /// Lets the lease of the minion expire without an answer.
+  void Lose(const std::string& aMinion)
+  {
+    Advance(Millis(3'200));
+    m_pool.OnLeaseExtensionFailed(aMinion, m_now - Millis(50));
+  }
+};
+
+constexpr int kMaxStarts = 5; // Three crashes and two more starts.
+
+} // namespace
+
+TEST_CASE_FIXTURE(CrashFixture, "a unit that crashes each minion that starts it is given up")
+{
+  for (const char* minion : { "m1", "m2", "m3", "m4" }) {
+    AddMinion(minion);
+  }
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(MakeJob("b", 8), m_now, false);
+  CrashUntilGivenUp("a.0.0.0");
+  CHECK(StateOf("a") == JobState::Failed);
+  CHECK(m_ordered["a.0.0.0"] >= 2);
+  CHECK(m_ordered["a.0.0.0"] <= kMaxStarts);
+  CHECK(StateOf("b") == JobState::Running);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a unit that crashes minions that stay away is given up")
+{
+  for (int i = 0; i < 12; ++i) {
+    AddMinion("m" + std::to_string(i));
+  }
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  std::vector<std::string> crashed;
+  for (int i = 0; i < 12 && !m_pool.FindJob("a")->HasEnded(); ++i) {
+    Start();
+    const std::string minion = MinionOf("a.0.0.0");
+    if (!minion.empty()) {
+      Lose(minion);
+      crashed.push_back(minion);
+      for (auto& [id, state] : m_pool.Minions()) {
+        if (state.m_missedCalls == 0) {
+          Report(id, {}, {}, 1);
+        }
+      }
+    }
+    Start();
+    Advance(Millis(1'000));
+    // Each minion is back after eight seconds, when the unit may run elsewhere already.
+    if (crashed.size() > 1) {
+      m_startMs += 10'000;
+      Report(crashed[crashed.size() - 2], {}, {}, m_startMs);
+    }
+    Advance(Millis(1'000));
+    Start();
+    SaveAll();
+  }
+  CHECK(StateOf("a") == JobState::Failed);
+  CHECK(m_ordered["a.0.0.0"] <= kMaxStarts);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a unit is not given up because a deadly unit ran beside it")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  AddMinion("m3");
+  JobRecord innocent = MakeJob("b", 6, 2'000);
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(innocent, m_now, false);
+  CrashUntilGivenUp("a.0.0.0");
+  CHECK(StateOf("a") == JobState::Failed);
+  REQUIRE(StateOf("b") == JobState::Running);
+  // All units of the other job still run, at once or after a wait for a minion of their own.
+  for (int i = 0; i < 10; ++i) {
+    Advance(Millis(1'000));
+    for (const StartOrder& order : Start()) {
+      CHECK(order.m_unit.starts_with("b."));
+    }
+  }
+  for (int i = 0; i < 6; ++i) {
+    CHECK_FALSE(MinionOf("b.0.0." + std::to_string(i)).empty());
+  }
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a crash is less likely due to units that had run for a while")
+{
+  AddMinion("m1");
+  m_pool.AddJob(MakeJob("b", 1), m_now, false);
+  Start();
+  Advance(Millis(2'000));
+  Report("m1", { { "b.0.0.0", 1, "", 10, 0 } }, {});
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  Start();
+  Crash({ "m1" });
+  Advance(kSettleTime);
+  const PoolOrders orders = Decide();
+  REQUIRE(orders.m_crashes.size() == 1);
+  REQUIRE(orders.m_crashes[0].m_counts.size() == 2);
+  CHECK(orders.m_crashes[0].m_counts[0] == CrashCounts{ 1, 0, 1 });
+  CHECK(orders.m_crashes[0].m_counts[1] == CrashCounts{ 1, 1, 0 });
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "a crash does not count against other units once its cause is given up")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(MakeJob("b", 1), m_now, false);
+  Start();
+  REQUIRE(MinionOf("a.0.0.0") == MinionOf("b.0.0.0"));
+  CrashUntilGivenUp("a.0.0.0");
+  REQUIRE(StateOf("a") == JobState::Failed);
+  const CrashCounts& counts =
+    m_pool.FindJob("b")->m_occurrences.at(0).m_steps[0].m_units[0].m_crashes;
+  CHECK(counts.m_all > 0);
+  CHECK(counts.m_explained == counts.m_all);
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "units on a rack that loses power twice are neither given up nor isolated")
+{
+  for (const char* minion : { "m1", "m2", "m3" }) {
+    AddMinion(minion, 2'000);
+  }
+  for (int i = 0; i < 3; ++i) {
+    m_pool.AddJob(MakeJob("j" + std::to_string(i), 1, 2'000), m_now, false);
+  }
+  REQUIRE(Start().size() == 3);
+  for (int i = 0; i < 2; ++i) {
+    CrashAndSettle({ "m1", "m2", "m3" });
+  }
+  for (int i = 0; i < 3; ++i) {
+    const std::string unit = "j" + std::to_string(i) + ".0.0.0";
+    CHECK(StateOf("j" + std::to_string(i)) == JobState::Running);
+    REQUIRE_FALSE(MinionOf(unit).empty());
+    CHECK_FALSE(m_pool.Minions().at(MinionOf(unit)).m_runs.at(unit).m_isIsolated);
+  }
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "a silent minion that answers again with the same start has not crashed")
+{
+  for (const char* minion : { "m1", "m2", "m3", "m4", "m5", "m6" }) {
+    AddMinion(minion);
+  }
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  for (int i = 0; i < 6; ++i) {
+    Start();
+    const std::string minion = MinionOf("a.0.0.0");
+    REQUIRE_FALSE(minion.empty());
+    Lose(minion);
+    Decide();
+    Report(minion, {}, {}, 1);
+    for (const auto& [id, state] : m_pool.Minions()) {
+      Report(id, {}, {}, 1);
+    }
+  }
+  CHECK(StateOf("a") == JobState::Running);
+  CHECK(m_pool.FindJob("a")->m_occurrences.at(0).m_steps[0].m_units[0].m_crashes == CrashCounts{});
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a minion that leaves as announced counts no crash")
+{
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    AddMinion(id);
+    Start();
+    REQUIRE(MinionOf("a.0.0.0") == id);
+    MinionEntry draining = MakeMinion(id);
+    draining.m_isDraining = true;
+    m_pool.UpdateMinion(draining, m_now);
+    // The machine comes back as another minion.
+    m_pool.OnMachineIncarnation({ "machine-" + id, "next-" + id, 20'000 + 10'000 * i }, m_now);
+    Advance(kSettleTime);
+    Decide();
+  }
+  CHECK(m_pool.FindJob("a")->m_occurrences.at(0).m_steps[0].m_units[0].m_crashes == CrashCounts{});
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a machine that is moved by order counts no crash")
+{
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    AddMinion(id);
+    Start();
+    REQUIRE(MinionOf("a.0.0.0") == id);
+    m_pool.SetRestrictions({ { "machine-" + id }, {} }, m_now);
+    m_pool.OnMachineIncarnation({ "machine-" + id, "next-" + id, 20'000 + 10'000 * i }, m_now);
+    Advance(kSettleTime);
+    Decide();
+  }
+  CHECK(m_pool.FindJob("a")->m_occurrences.at(0).m_steps[0].m_units[0].m_crashes == CrashCounts{});
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a crash counts when the machine comes back as another minion")
+{
+  AddMinion("m1");
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  Start();
+  m_pool.OnMachineIncarnation({ "machine-m1", "m2", 20'000 }, m_now);
+  Advance(kSettleTime);
+  const PoolOrders orders = Decide();
+  REQUIRE(orders.m_crashes.size() == 1);
+  CHECK(orders.m_crashes[0].m_counts[0] == CrashCounts{ 1, 0, 1 });
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "the crashes of a unit survive a takeover")
+{
+  for (const char* minion : { "m1", "m2", "m3" }) {
+    AddMinion(minion);
+  }
+  JobRecord record = MakeJob("a", 1);
+  m_pool.AddJob(record, m_now, false);
+  Start();
+  CrashAndSettle({ MinionOf("a.0.0.0") });
+  const std::string progress = EncodeProgress(*m_pool.FindJob("a"));
+
+  CrashFixture successor;
+  successor.m_pool.SetEpoch(1);
+  REQUIRE(successor.m_pool.LoadJob(record, progress, successor.m_now, successor.m_wallNow));
+  for (const char* minion : { "m1", "m2", "m3" }) {
+    successor.AddMinion(minion);
+  }
+  successor.CrashUntilGivenUp("a.0.0.0");
+  CHECK(successor.StateOf("a") == JobState::Failed);
+  CHECK(successor.m_ordered["a.0.0.0"] == 1);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a run that a new owner adopts counts when its minion crashes")
+{
+  AddMinion("m1");
+  REQUIRE(m_pool.LoadJob(MakeJob("a", 1), "", m_now, m_wallNow));
+  Report("m1", { { "a.0.0.0", 7, "", 10, 0 } }, {});
+  Crash({ "m1" });
+  Advance(kSettleTime);
+  const PoolOrders orders = Decide();
+  REQUIRE(orders.m_crashes.size() == 1);
+  CHECK(orders.m_crashes[0].m_counts[0] == CrashCounts{ 1, 0, 1 });
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a gang that crashes its minions is given up as a whole")
+{
+  for (int i = 0; i < 6; ++i) {
+    AddMinion("m" + std::to_string(i), 2'000);
+  }
+  JobRecord record = MakeJob("a", 2, 2'000);
+  record.m_spec.m_steps[0].m_isGang = true;
+  m_pool.AddJob(record, m_now, false);
+  for (int i = 0; i < 20 && !m_pool.FindJob("a")->HasEnded(); ++i) {
+    Start();
+    const std::string first = MinionOf("a.0.0.0");
+    const std::string second = MinionOf("a.0.0.1");
+    if (first.empty()) {
+      Advance(Millis(500));
+      continue;
+    }
+    // One member crashes its minion, the other member ends with it.
+    const std::uint32_t run = m_pool.Minions().at(second).m_runs.at("a.0.0.1").m_run;
+    Crash({ first });
+    Report(second,
+           {},
+           { { ++m_endNumber, "a.0.0.1", run, RunOutcome::GangBroken, {} } },
+           m_starts.contains(second) ? m_starts[second] : 1);
+    Advance(kSettleTime);
+    Decide();
+    SaveAll();
+  }
+  CHECK(StateOf("a") == JobState::Failed);
+  CHECK(m_ordered["a.0.0.0"] <= kMaxStarts - 1);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a long-running unit that has run for a while has no crashes")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  JobRecord record = MakeJob("a", 1);
+  record.m_spec.m_steps[0].m_isLongRunning = true;
+  m_pool.AddJob(record, m_now, false);
+  for (int i = 0; i < 6; ++i) {
+    Start();
+    std::string minion = MinionOf("a.0.0.0");
+    REQUIRE_FALSE(minion.empty());
+    CrashAndSettle({ minion });
+    minion = MinionOf("a.0.0.0");
+    REQUIRE_FALSE(minion.empty());
+    const std::uint32_t run = m_pool.Minions().at(minion).m_runs.at("a.0.0.0").m_run;
+    Advance(Millis(20'000));
+    const std::int64_t start = m_starts.contains(minion) ? m_starts[minion] : 1;
+    Report(minion, { { "a.0.0.0", run, "", 100, 0 } }, {}, start);
+  }
+  CHECK(StateOf("a") == JobState::Running);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a long-running unit that crashes its minions is given up")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  JobRecord record = MakeJob("a", 1);
+  record.m_spec.m_steps[0].m_isLongRunning = true;
+  m_pool.AddJob(record, m_now, false);
+  CrashUntilGivenUp("a.0.0.0");
+  CHECK(StateOf("a") == JobState::Failed);
+  CHECK(m_ordered["a.0.0.0"] <= kMaxStarts - 1);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "crashes count for one occurrence of a repeated job")
+{
+  AddMinion("m1");
+  JobRecord record = MakeJob("a", 1);
+  record.m_spec.m_repeatCount = 2;
+  record.m_spec.m_startAt = m_wallNow;
+  record.m_spec.m_interval = Millis(100);
+  m_pool.AddJob(record, m_now, false);
+  Start();
+  Crash({ "m1" });
+  Start();
+  Advance(kSettleTime);
+  Start();
+  const auto& occurrences = m_pool.FindJob("a")->m_occurrences;
+  REQUIRE(occurrences.size() == 2);
+  CHECK(occurrences.at(0).m_steps[0].m_units[0].m_crashes.m_all == 1);
+  CHECK(occurrences.at(1).m_steps[0].m_units[0].m_crashes.m_all == 0);
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "a suspect runs on a minion of its own, even when all minions are busy")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  AddMinion("m3");
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(MakeJob("b", 40), m_now, false);
+  Start();
+  CrashAndSettle({ MinionOf("a.0.0.0") });
+  // The second crash, beside other units.
+  REQUIRE_FALSE(MinionOf("a.0.0.0").empty());
+  Crash({ MinionOf("a.0.0.0") });
+  Advance(kSettleTime);
+  Start();
+  SaveAll();
+  Start();
+  // A minion is emptied: its units end, and no other unit takes their place.
+  for (int i = 0; i < 10 && MinionOf("a.0.0.0").empty(); ++i) {
+    for (auto& [id, minion] : m_pool.Minions()) {
+      if (minion.m_heldForJob != "a") {
+        continue;
+      }
+      std::vector<ListedEnd> ends;
+      for (const auto& [name, run] : minion.m_runs) {
+        ends.push_back({ ++m_endNumber, name, run.m_run, RunOutcome::Done, {} });
+      }
+      Report(id, {}, ends, m_starts.contains(id) ? m_starts[id] : 1);
+      break;
+    }
+    Start();
+    Advance(Millis(100));
+  }
+  const std::string minion = MinionOf("a.0.0.0");
+  REQUIRE_FALSE(minion.empty());
+  Start();
+  CHECK(m_pool.Minions().at(minion).m_runs.size() == 1);
+  CHECK(m_pool.Minions().at(minion).m_runs.at("a.0.0.0").m_isIsolated);
+}
+
+TEST_CASE_FIXTURE(CrashFixture, "a suspect runs beside others when no minion can be emptied")
+{
+  AddMinion("m1");
+  JobRecord lasting = MakeJob("b", 2);
+  lasting.m_spec.m_steps[0].m_isLongRunning = true;
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(lasting, m_now, false);
+  Start();
+  CrashAndSettle({ "m1" });
+  Crash({ "m1" });
+  Advance(kSettleTime);
+  Start();
+  SaveAll();
+  // Three suspects and one minion: the long-running ones run again soon, the other one later.
+  for (int i = 0; i < 30; ++i) {
+    Advance(Millis(100));
+    Start();
+  }
+  CHECK(MinionOf("b.0.0.0") == "m1");
+  CHECK(MinionOf("b.0.0.1") == "m1");
+  for (int i = 0; i < 60; ++i) {
+    Advance(Millis(100));
+    Start();
+  }
+  CHECK(MinionOf("a.0.0.0") == "m1");
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "after the second crash a unit starts only when the store has the count")
+{
+  AddMinion("m1");
+  AddMinion("m2");
+  m_pool.AddJob(MakeJob("a", 1), m_now, false);
+  m_pool.AddJob(MakeJob("b", 1), m_now, false);
+  Start();
+  CrashAndSettle({ MinionOf("a.0.0.0") });
+  const std::string minion = MinionOf("a.0.0.0");
+  REQUIRE_FALSE(minion.empty());
+  m_pool.AddJob(MakeJob("c", 1), m_now, false);
+  Start();
+  REQUIRE(MinionOf("c.0.0.0") == minion);
+  Crash({ minion });
+  Advance(kSettleTime);
+  for (int i = 0; i < 10; ++i) {
+    Advance(Millis(100));
+    Start();
+    CHECK(MinionOf("a.0.0.0").empty());
+  }
+  SaveAll();
+  Start();
+  CHECK_FALSE(MinionOf("a.0.0.0").empty());
+}
+
+} // namespace mustardtray::job
