Placement: a unit that had run for some seconds is not given up for two crashes

A crash speaks against one unit alone only when the unit had just started and no other had. Crashes of units that had run for a while still count towards the limit of five.

--- a/include/mustardtray/job/CrashHistory.h
+++ b/include/mustardtray/job/CrashHistory.h
@@ -22,7 +22,7 @@
   /// Those that probably had another cause: other minions crashed at about the same time, a unit
   /// that ran on the minion was given up, or it had run for a while and others had just started.
   std::uint32_t m_explained = 0;
-  std::uint32_t m_alone = 0; ///< Others, with no other likely cause on the minion.
+  std::uint32_t m_alone = 0; ///< Others, when the unit had just started and no other had.
 
   bool operator==(const CrashCounts&) const = default;
 };
@@ -44,7 +44,7 @@
 {
   UnitId m_unit; ///< For a gang: its first unit.
   std::uint32_t m_run = 0;
-  bool m_isAlone = false;    ///< The minion had no other run, or none that had started lately.
+  bool m_isAlone = false;    ///< It had just started, and no other run had.
   bool m_isUnlikely = false; ///< It had run for a while when other runs had started lately.
 };
 
--- a/src/job/PoolSchedulerCrashes.cpp
+++ b/src/job/PoolSchedulerCrashes.cpp
@@ -60,8 +60,8 @@
     }
   }
   for (CrashSuspect& suspect : suspects) {
+    suspect.m_isAlone = recent == 1 && !suspect.m_isUnlikely;
     suspect.m_isUnlikely = suspect.m_isUnlikely && recent > 0;
-    suspect.m_isAlone = suspects.size() == 1 || (recent == 1 && !suspect.m_isUnlikely);
   }
   return suspects;
 }
