--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -14,6 +14,7 @@
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
 #include "mustardtray/job/ArrivalRate.h"
+#include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PlacementForecast.h"
@@ -28,6 +29,16 @@
   Millis m_maxRunLease{ 6'000 }; ///< Longest lease that a minion grants.
 };
 
+/// A crash of a minion, for logs.
+struct CrashNotice
+{
+  MinionCrash m_crash;
+  std::vector<std::string> m_isolatedUnits; ///< Suspects that are isolated from now on.
+  std::vector<std::string> m_deadlyUnits;   ///< Suspects that are given up.
+  /// Counts of each suspect after the crash; nothing for a unit that has ended since.
+  std::vector<std::optional<CrashCounts>> m_counts;
+};
+
 /// Orders and requests to send, and jobs to save.
 struct PoolOrders
 {
@@ -35,6 +46,7 @@
   std::vector<StopOrder> m_stops;
   std::vector<ThrottleOrder> m_throttles;
   std::vector<AdviceRequest> m_adviceRequests;
+  std::vector<CrashNotice> m_crashes;
   std::vector<std::string> m_unsavedJobs; ///< Jobs whose progress has to be written to the store.
 };
 
@@ -205,7 +217,40 @@
   void DropRun(MinionState& aMinion, const std::string& aUnit, TimePoint aNow);
   void DropAllRuns(MinionState& aMinion, TimePoint aNow);
   /// Resets the state of a minion that has restarted: it lost its runs and its history.
-  void ResetRestartedMinion(MinionState& aMinion, TimePoint aNow);
+  void ResetRestartedMinion(MinionState& aMinion, std::int64_t aRestartedAtMs, TimePoint aNow);
+  /// Returns the runs that may be the cause when the minion crashes now.
+  std::vector<CrashSuspect> SuspectsOn(const MinionState& aMinion) const;
+  /// Records that a minion has restarted, unless it was about to leave anyway.
+  void RecordCrash(const MinionState& aMinion, std::int64_t aRestartedAtMs, TimePoint aNow);
+  /// Counts settled crashes at their suspects.
+  void CountCrashes(TimePoint aNow);
+  std::optional<CrashCounts> CountCrash(const MinionCrash& aCrash,
+                                        const CrashSuspect& aSuspect,
+                                        TimePoint aNow);
+  /// Called when another unit has been given up for a crash that was counted at the suspect.
+  void ExplainCrash(const CrashSuspect& aSuspect);
+  /// Returns the unit that holds the crash counts: the first one of a gang.
+  static UnitId CountedUnit(const Job& aJob, const UnitId& aId);
+  UnresolvedLosses LossesOf(const UnitId& aCounted) const;
+  const CrashCounts& CrashesOf(const Job& aJob, const UnitId& aCounted) const;
+  /// Whether a minion crashed under the unit or may have, and nothing explains it.
+  bool IsSuspect(const Job& aJob, const UnitId& aId) const;
+  /// Whether a run of the unit must have its minion for itself.
+  bool MustIsolate(const Job& aJob, const UnitId& aId) const;
+  /// Returns the most crashes and losses of the step's waiting units that need isolation; 0 when
+  /// none does.
+  std::uint32_t CrashesOfIsolatedUnit(const QueuedStep& aQueued) const;
+  /// Sets the constraints that follow from crashes; returns whether the unit may start now.
+  bool ApplyCrashes(PlacementRequest& aRequest,
+                    const QueuedStep& aQueued,
+                    std::uint32_t aIndex,
+                    TimePoint aNow);
+  /// Reserves minions that can soon be empty for the units that need isolation.
+  void HoldMinionsForIsolation(TimePoint aNow);
+  /// Lets other units share the minion with an isolated run that has lasted for a while.
+  static void EndIsolation(MinionState& aMinion, TimePoint aNow);
+  /// Forgets the crashes under a long-running unit that has been running for long enough.
+  void ForgetCrashesIfStable(Job& aJob, const UnitId& aId, const Run& aRun, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, TimePoint aNow);
   void StopRunsOf(const Job& aJob, TimePoint aNow);
@@ -270,6 +315,7 @@
   RunTimeCorrection m_runTimeCorrection;
   ArrivalRate m_arrivals;
   AdviceCache m_advice;
+  CrashHistory m_crashHistory;
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
   PoolOrders m_orders;
 };
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Job.h"
 #include "mustardtray/job/Minion.h"
 #include "mustardtray/process/Time.h"
@@ -26,6 +27,9 @@
   std::vector<std::string> m_minions; ///< Minions that have or may have a run of the unit.
   std::uint64_t m_failedRevision = 0; ///< Job revision that includes the latest failure.
   std::string m_lastFailedOn;         ///< Minion of the latest failure.
+  CrashCounts m_crashes;              ///< Crashes of minions that ran the unit.
+  std::uint32_t m_lastCrashedRun = 0; ///< Already counted; the members of a gang share a run.
+  TimePoint m_isolationSoughtAt{};    ///< Since when it waits for a minion of its own.
 };
 
 struct StepState
@@ -59,6 +63,7 @@
   std::vector<Millis> m_longestPathFrom; ///< By step: longest path that begins with it.
   std::uint64_t m_revision = 0;          ///< Incremented with each change that has to be stored.
   std::uint64_t m_savedRevision = 0;     ///< Latest revision in the store.
+  bool m_hasCrashes = false;             ///< A minion has crashed under one of its units.
 
   bool HasEnded() const { return m_state != JobState::Queued && m_state != JobState::Running; }
 };
@@ -86,6 +91,9 @@
   TimePoint m_throttledAt{};
   bool m_isLongRunning = false;
   bool m_isBestEffort = false;
+  bool m_isGang = false;
+  bool m_isSuspect = false;  ///< A minion crashed under the unit, and nothing explains it.
+  bool m_isIsolated = false; ///< Nothing else is placed on its minion.
   Millis m_tailLatencyTarget{ 0 };
   Millis m_expectedRunTime{
     0
@@ -108,7 +116,9 @@
   TimePoint m_cordonedAt{};  ///< When it was cordoned.
   bool m_isAwaitingMaintenance = false; ///< Will be cordoned soon.
   bool m_isRecorded = false;            ///< The store has a record that work may be on it.
+  std::string m_heldForJob;             ///< Being emptied for a unit that needs isolation.
   std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
+  int m_isolatedRuns = 0;               ///< Runs with m_isIsolated.
   Resources m_used;
   std::size_t m_runsOfUnknownSize = 0;
   TimePoint m_lastAnswerAt{};
@@ -127,6 +137,8 @@
   {
     return m_registeredStartMs != 0 && m_registeredStartMs < m_reportedStartMs;
   }
+  /// Whether its end is expected.
+  bool IsLeaving() const { return m_isCordoned || m_entry.m_isDraining; }
   Resources Free() const
   {
     Resources free = m_entry.m_capacity;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -106,12 +106,14 @@
   const bool hasRestarted = aReport.m_startedAtMs > minion.m_entry.m_startedAtMs;
   if (hasRestarted) {
     if (minion.m_entry.m_startedAtMs != 0) {
-      ResetRestartedMinion(minion, aNow);
+      ResetRestartedMinion(minion, aReport.m_startedAtMs, aNow);
     }
     minion.m_entry.m_startedAtMs = aReport.m_startedAtMs;
   }
   minion.m_reportedStartMs = aReport.m_startedAtMs;
   minion.m_isRegistered = minion.m_isRegistered && !minion.IsRegistrationOutdated();
+  m_crashHistory.OnIncarnation({ minion.m_entry.m_machine, aMinion, aReport.m_startedAtMs }, aNow);
+  m_crashHistory.OnAnswer(aMinion, aReport.m_startedAtMs);
   minion.m_lastAnswerAt = aNow;
   minion.m_missedCalls = 0;
   minion.m_isFenced = true;
@@ -267,7 +269,9 @@
       // A run of a job that has ended uses its capacity until it has stopped.
       const bool hasSpec = job && id->m_step < job->m_record.m_spec.m_steps.size();
       const StepSpec* spec = hasSpec ? &job->m_record.m_spec.m_steps[id->m_step] : nullptr;
-      Run& adopted = AddRun(aMinion, unit, row.m_unit, MakeRun(*id, row.m_run, spec, aNow));
+      Run run = MakeRun(*id, row.m_run, spec, aNow);
+      run.m_isIsolated = unit && MustIsolate(*job, *id);
+      Run& adopted = AddRun(aMinion, unit, row.m_unit, std::move(run));
       adopted.m_phase = RunPhase::Running;
       adopted.m_confirmedAt = aNow;
       // The run's lease is unknown, so the longest possible one is assumed.
@@ -291,6 +295,9 @@
     if (unit && !row.m_checkpoint.empty()) {
       unit->m_checkpoint = row.m_checkpoint;
     }
+    if (unit && run.m_isLongRunning && job->m_hasCrashes) {
+      ForgetCrashesIfStable(*job, *id, run, aNow);
+    }
   }
   std::vector<std::string> unlisted;
   for (const auto& [name, run] : aMinion.m_runs) {
@@ -309,6 +316,7 @@
 {
   aMinion.m_used += aRun.m_reserved;
   aMinion.m_runsOfUnknownSize += aRun.m_isSizeUnknown ? 1 : 0;
+  aMinion.m_isolatedRuns += aRun.m_isIsolated ? 1 : 0;
   if (aUnit) {
     aUnit->m_minions.push_back(aMinion.m_entry.m_id);
     aUnit->m_lastRun = std::max(aUnit->m_lastRun, aRun.m_run);
@@ -325,6 +333,7 @@
   const UnitId id = entry->second.m_unit;
   aMinion.m_used -= entry->second.m_reserved;
   aMinion.m_runsOfUnknownSize -= entry->second.m_isSizeUnknown ? 1 : 0;
+  aMinion.m_isolatedRuns -= entry->second.m_isIsolated ? 1 : 0;
   aMinion.m_runs.erase(entry);
   Job* job = nullptr;
   Unit* unit = FindUnit(id, &job);
