--- a/src/job/FleetPlannerMoves.cpp
+++ b/src/job/FleetPlannerMoves.cpp
@@ -96,7 +96,6 @@
     balance.m_unplaced = load.m_unplaced;
     const std::size_t unknown =
       balance.m_machines > load.m_minions ? balance.m_machines - load.m_minions : 0;
-    // A new owner reads the registrations of its minions only after it has loaded the shard.
     const std::size_t arriving =
       load.m_ownerAge < kMinionArrivalTime ? unknown : std::min(unknown, machines.m_arriving);
     for (std::size_t i = 0; i < arriving; ++i) {
@@ -162,14 +161,11 @@
     const std::string pool = ShardMap::PoolOf(receiver.m_shard);
     // A part of a gang would only keep machines from others.
     std::erase_if(receiver.m_unplaced, [&](const UnplacedUnits& aUnits) {
-      if (!aUnits.m_isGang) {
-        return false;
-      }
       ShardBalance gang{ receiver.m_shard, 0, 0, { aUnits } };
       for (const std::string& name : aSpareMachines) {
         takeUnits(gang, name);
       }
-      return !gang.m_unplaced.empty();
+      return aUnits.m_isGang && !gang.m_unplaced.empty();
     });
     for (auto name = aSpareMachines.begin();
          name != aSpareMachines.end() && !receiver.m_unplaced.empty();) {
