--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -86,6 +86,15 @@
   std::size_t m_awaited = 0; ///< See PoolScheduler::AwaitMinion().
 };
 
+/// A minion of an earlier owner that has not answered this one; see PoolScheduler::AwaitMinion().
+struct AwaitedMinion
+{
+  std::string m_minion;
+  std::string m_machine;
+  bool m_isRegistered = false;
+  Millis m_leaseLeft{ 0 }; ///< Negative: the lease has ended, but no later call has failed.
+};
+
 /// How long a refused job counts as demand: its caller retries within about this time.
 inline constexpr Millis kRefusedDemandTime{ 1'500 };
 
@@ -173,6 +182,8 @@
   /// Describes the steps with waiting units, first those that are placed first.
   std::vector<WaitingStep> DescribeWaiting(std::size_t aMaxSteps, TimePoint aNow) const;
   MinionCounts CountMinions(TimePoint aNow) const;
+  /// Describes the minions that inherited jobs wait for, those with the longest leases first.
+  std::vector<AwaitedMinion> DescribeAwaited(std::size_t aMaxMinions, TimePoint aNow) const;
   /// Called when a job was refused: its work still counts as demand for a while.
   void OnRefused(const JobRecord& aRecord, TimePoint aNow);
   /// Called at a caller's first attempt to submit a job, whether or not it is accepted.
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -139,4 +139,24 @@
   return counts;
 }
 
+std::vector<AwaitedMinion> PoolScheduler::DescribeAwaited(std::size_t aMaxMinions,
+                                                          TimePoint aNow) const
+{
+  std::vector<AwaitedMinion> awaited;
+  for (const auto& [id, leaseEnd] : m_awaited) {
+    AwaitedMinion description{ id, {}, false, std::chrono::duration_cast<Millis>(leaseEnd - aNow) };
+    if (const auto minion = m_minions.find(id); minion != m_minions.end()) {
+      description.m_machine = minion->second.m_entry.m_machine;
+      description.m_isRegistered = minion->second.m_isRegistered;
+    }
+    awaited.push_back(std::move(description));
+  }
+  std::stable_sort(
+    awaited.begin(), awaited.end(), [](const AwaitedMinion& aLeft, const AwaitedMinion& aRight) {
+      return aLeft.m_leaseLeft > aRight.m_leaseLeft;
+    });
+  awaited.resize(std::min(awaited.size(), aMaxMinions));
+  return awaited;
+}
+
 } // namespace mustardtray::job
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -85,6 +85,8 @@
   void DecideNow();
   /// Logs the steps with waiting units, and why they wait.
   void LogWaiting() const;
+  /// Logs the minions that inherited jobs wait for, until there are none.
+  void LogRecovery();
   void LogCrash(const job::CrashNotice& aNotice) const;
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
@@ -120,9 +122,11 @@
   std::vector<job::MachineIncarnation> m_deferredIncarnations;
   TimerHandle m_periodicTimer;
   TimerHandle m_logTimer;
+  TimerHandle m_recoveryLogTimer;
   TimerHandle m_decisionTimer;
   TimerHandle m_retryTimer;
   TimerHandle m_drainTimer;
+  TimePoint m_loadedAt{};
   bool m_isLoaded = false;
   bool m_isClosed = false;
   bool m_isDraining = false;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -13,6 +13,7 @@
 constexpr Micros kReadRetryDelay{ 150'000 };
 constexpr Millis kDecisionPeriod{ 100 };
 constexpr Millis kWaitingLogPeriod{ 2'000 };
+constexpr Millis kRecoveryLogPeriod{ 500 };
 /// A takeover waits for the longest lease of an earlier owner, on a minion clock that runs 2% slow,
 /// plus a margin.
 constexpr double kClockSlowdown = 1.03;
@@ -132,6 +133,7 @@
   m_loadedJobs.clear();
   m_loadedProgress.clear();
   m_isLoaded = true;
+  m_loadedAt = now;
   Log(LogCategory::Membership,
       LogLevel::Info,
       "pool-loaded",
@@ -168,6 +170,7 @@
     },
     [] {});
   m_periodicTimer = m_context.m_timers.Every(kDecisionPeriod, 0, [this] { DecideNow(); });
+  m_recoveryLogTimer = m_context.m_timers.Every(kRecoveryLogPeriod, 0, [this] { LogRecovery(); });
   m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] { LogWaiting(); });
   DecideNow();
 }
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kOrderTimeout{ 500 };
 /// Steps with waiting units that are logged at a time.
 constexpr std::size_t kMaxLoggedSteps = 3;
+/// Awaited minions that are logged at a time.
+constexpr std::size_t kMaxLoggedAwaited = 8;
 /// Units that are logged with a crash of their minion.
 constexpr std::size_t kMaxLoggedSuspects = 8;
 /// The advisor handles this node's requests one at a time and needs time for each minion named.
@@ -59,6 +61,44 @@
   }
 }
 
+void PoolOwner::LogRecovery()
+{
+  const TimePoint now = LeaseClockNow();
+  const job::MinionCounts counts = m_scheduler.CountMinions(now);
+  const Millis elapsed = std::chrono::duration_cast<Millis>(now - m_loadedAt);
+  if (!m_scheduler.IsRecovering(now)) {
+    m_recoveryLogTimer.Cancel();
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "pool-recovered",
+        "pool",
+        Pool(),
+        "after-ms",
+        elapsed.count());
+    return;
+  }
+  std::string awaited;
+  for (const job::AwaitedMinion& minion : m_scheduler.DescribeAwaited(kMaxLoggedAwaited, now)) {
+    awaited += fmt::format("{}{}/{}/{}/{}",
+                           awaited.empty() ? "" : ",",
+                           minion.m_minion,
+                           minion.m_machine,
+                           minion.m_isRegistered ? "registered" : "unregistered",
+                           minion.m_leaseLeft.count());
+  }
+  Log(LogCategory::Placement,
+      LogLevel::Info,
+      "pool-recovering",
+      "pool",
+      Pool(),
+      "for-ms",
+      elapsed.count(),
+      "awaited",
+      counts.m_awaited,
+      "minions", // Minion, machine, registration, and time in ms that its leases may last.
+      awaited);
+}
+
 void PoolOwner::ExecuteOrders(job::PoolOrders aOrders)
 {
   for (const job::StopOrder& order : aOrders.m_stops) {
