Node, job: the record of a drained minion is removed from the store

Cause: the row of a minion that may have work stays for about 5 s after its machine was taken by a move or for maintenance, until the registration has expired and a call has failed. Change: when a leaving minion has no work any more, its row is removed at once. It gets no work before it has answered after the end of its cordon and the store has a row again. A minion is also recorded when it answers, not only when its registration changes. Evidence: the first of the two new tests fails without the change (the new owner is recovering), the second guards the way back.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -154,6 +154,9 @@
   /// Whether maintenance or a move may take the machine now. False while it has work that should
   /// not be lost.
   bool IsDrained(const std::string& aMachine, TimePoint aNow) const;
+  /// Returns the leaving minions that have no work any more, each once. They get none from now on,
+  /// so their records can be removed from the store: a later owner need not wait for them.
+  std::vector<std::string> TakeDrainedMinions();
   void OnStartAnswer(const StartOrder& aOrder, OrderResult aResult, TimePoint aNow);
   void OnStopAnswer(const StopOrder& aOrder, OrderResult aResult, TimePoint aNow);
   /// Processes a minion's answer to a lease extension. aAskedAt: when the extension was sent.
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -116,9 +116,12 @@
   TimePoint m_cordonedAt{};  ///< When it was cordoned.
   bool m_isAwaitingMaintenance = false; ///< Will be cordoned soon.
   bool m_isRecorded = false;            ///< The store has a record that work may be on it.
-  std::string m_heldForJob;             ///< Being emptied for a unit that needs isolation.
-  std::map<std::string, Run> m_runs;    ///< By UnitId::Text().
-  int m_isolatedRuns = 0;               ///< Runs with m_isIsolated.
+  /// The record is removed because the minion is leaving and has no work. If it stays after all, it
+  /// has to answer before it is recorded again.
+  bool m_isReleased = false;
+  std::string m_heldForJob;          ///< Being emptied for a unit that needs isolation.
+  std::map<std::string, Run> m_runs; ///< By UnitId::Text().
+  int m_isolatedRuns = 0;            ///< Runs with m_isIsolated.
   Resources m_used;
   std::size_t m_runsOfUnknownSize = 0;
   TimePoint m_lastAnswerAt{};
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -13,6 +13,14 @@
 /// Margin on the expiry of leases, for timers that fire late.
 constexpr Millis kLeaseExpiryMargin{ 100 };
 
+/// Whether nothing would be lost with this incarnation of the minion: it has no runs, also none
+/// that this owner does not know, and no ends that it has not been told are stored.
+bool HasNoWork(const MinionState& aMinion)
+{
+  return aMinion.m_isFenced && aMinion.m_runs.empty() &&
+         aMinion.m_lastAcknowledgedEnd >= aMinion.m_lastProcessedEnd;
+}
+
 } // namespace
 
 void PoolScheduler::UpdateMinion(const MinionEntry& aEntry, TimePoint aNow)
@@ -107,6 +115,19 @@
   }
 }
 
+std::vector<std::string> PoolScheduler::TakeDrainedMinions()
+{
+  std::vector<std::string> drained;
+  for (auto& [id, minion] : m_minions) {
+    if (minion.IsLeaving() && !minion.m_isReleased && HasNoWork(minion)) {
+      minion.m_isReleased = true;
+      minion.m_isRecorded = false;
+      drained.push_back(id);
+    }
+  }
+  return drained;
+}
+
 bool PoolScheduler::IsDrained(const std::string& aMachine, TimePoint aNow) const
 {
   bool isFound = false;
@@ -114,9 +135,7 @@
     if (minion.m_entry.m_machine != aMachine) {
       continue;
     }
-    // Unknown runs and unacknowledged ends would be lost with this incarnation of the minion.
-    if (!minion.m_isCordoned || !minion.m_isFenced || !minion.m_runs.empty() ||
-        minion.m_lastAcknowledgedEnd < minion.m_lastProcessedEnd) {
+    if (!minion.m_isCordoned || !HasNoWork(minion)) {
       return false;
     }
     isFound = true;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -117,6 +117,7 @@
   minion.m_lastAnswerAt = aNow;
   minion.m_missedCalls = 0;
   minion.m_isFenced = true;
+  minion.m_isReleased = minion.m_isReleased && minion.IsLeaving();
   m_awaited.erase(aMinion);
   for (const ListedEnd& end : aReport.m_ended) {
     if (end.m_number > minion.m_lastProcessedEnd) {
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -186,6 +186,7 @@
   m_clock.Update(report.m_clockMs, now);
   m_owner.m_scheduler.OnLeaseReport(m_minion, report, aAskedAt, now);
   m_owner.m_scheduler.OnEndsAcknowledged(m_minion, m_pendingAcknowledgement);
+  m_owner.RecordMinion(m_minion);
   const std::weak_ptr<int> alive = m_alive;
   m_owner.DecideNow();
   if (alive.expired()) {
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -250,24 +250,49 @@
 
 void PoolOwner::RecordMinion(const std::string& aId)
 {
-  job::MinionState& minion = m_scheduler.Minions().at(aId);
-  if (minion.m_isRecorded) {
+  const auto found = m_scheduler.Minions().find(aId);
+  if (found == m_scheduler.Minions().end() || m_pendingRecords.contains(aId)) {
     return;
   }
-  // The end of a session removes the row. A removal that replaces this write runs its callback.
-  m_batchWriter.Put(kUsedMinionTable,
-                    aId,
-                    EncodeUsedMinion(minion.m_entry),
-                    [this, aId, session = m_sessions.at(aId)->Alive()](WriteOutcome aOutcome) {
-                      if (session.expired() || aOutcome != WriteOutcome::Saved) {
-                        return;
-                      }
-                      const auto found = m_scheduler.Minions().find(aId);
-                      if (found != m_scheduler.Minions().end()) {
-                        found->second.m_isRecorded = true;
-                        RequestDecision();
-                      }
-                    });
+  const job::MinionState& minion = found->second;
+  if (!minion.m_isRegistered || minion.m_isRecorded || minion.m_isReleased) {
+    return;
+  }
+  const std::uint64_t number = ++m_lastRecordNumber;
+  m_pendingRecords[aId] = number;
+  // A removal that replaces this write runs its callback, too.
+  m_batchWriter.Put(
+    kUsedMinionTable,
+    aId,
+    EncodeUsedMinion(minion.m_entry),
+    [this, aId, number, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
+      if (alive.expired() || aOutcome != WriteOutcome::Saved) {
+        return;
+      }
+      const auto pending = m_pendingRecords.find(aId);
+      if (pending == m_pendingRecords.end() || pending->second != number) {
+        return; // The record has been removed since.
+      }
+      m_pendingRecords.erase(pending);
+      const auto minion = m_scheduler.Minions().find(aId);
+      if (minion != m_scheduler.Minions().end()) {
+        minion->second.m_isRecorded = true;
+        RequestDecision();
+      }
+    });
+}
+
+void PoolOwner::RemoveRecord(const std::string& aId)
+{
+  m_pendingRecords.erase(aId);
+  m_batchWriter.Put(kUsedMinionTable, aId, std::nullopt, [](WriteOutcome) {});
+}
+
+void PoolOwner::RemoveRecordsOfDrained()
+{
+  for (const std::string& id : m_scheduler.TakeDrainedMinions()) {
+    RemoveRecord(id);
+  }
 }
 
 void PoolOwner::OnMachineIncarnation(const job::MachineIncarnation& aIncarnation)
@@ -297,7 +322,7 @@
       ++session;
       continue;
     }
-    m_batchWriter.Put(kUsedMinionTable, session->first, std::nullopt, [](WriteOutcome) {});
+    RemoveRecord(session->first);
     session = m_sessions.erase(session);
   }
 }
@@ -355,6 +380,7 @@
   }
   m_scheduler.Decide(now, WallNow());
   ExecuteOrders(m_scheduler.TakeOrders());
+  RemoveRecordsOfDrained();
   EndSessionsOfErasedMinions();
 }
 
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -97,7 +97,10 @@
   void RemoveFromInbox(const std::string& aKey);
   /// Starts a session with a minion unless there is one.
   void StartSession(const std::string& aId);
+  /// Writes to the store that work may be on the minion, unless the store knows or must not know.
   void RecordMinion(const std::string& aId);
+  void RemoveRecord(const std::string& aId);
+  void RemoveRecordsOfDrained();
   void EndSessionsOfErasedMinions();
   void AddJob(const job::JobRecord& aRecord, bool aIsLate);
   TimePoint FirstRefusalTime(const std::string& aId) const;
@@ -109,6 +112,9 @@
   job::PoolScheduler m_scheduler;
   PoolBatchWriter m_batchWriter;
   std::map<std::string, std::unique_ptr<MinionSession>> m_sessions;
+  /// Numbers of the writes that record a minion, until they are saved or the record is removed.
+  std::map<std::string, std::uint64_t> m_pendingRecords;
+  std::uint64_t m_lastRecordNumber = 0;
   /// Jobs that are being written to the store.
   std::map<std::string, std::vector<SubmitCallback>> m_pendingSubmissions;
   std::map<std::string, std::string> m_loadedJobs;
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char* kPool = "pool";
 constexpr const char* kMinion = "minion";
+constexpr const char* kMachine = "machine";
 
 /// The owner of a pool, beside a stand-in of a minion without runs that answers late.
 struct PoolOwnerFixture
@@ -31,6 +32,9 @@
                      0,
                      [this](const std::shared_ptr<StandinExchange>& aExchange) {
                        ++m_minionCalls;
+                       if (m_isMinionGone) {
+                         return;
+                       }
                        m_answerTimer = m_timers.After(kAnswerDelay, [aExchange] {
                          aExchange->SendResponse(JsonResponse(
                            200, R"({"clock_ms":5000,"born":1,"running":[],"ended":[]})"));
@@ -41,9 +45,16 @@
     m_node.m_context.m_lease.Extend(LeaseClockNow() + kLease);
     m_claim.m_pool = kPool;
     m_claim.m_node = "self";
+    Claim();
+  }
+
+  /// Creates an owner with a new claim.
+  void Claim()
+  {
     platform::Transaction transaction;
     transaction.m_writes.push_back(
       { { kOwnerTable, kPool, kSingleRowKey }, job::EncodeOwnerRow(m_claim) });
+    m_claim.m_version = 0;
     m_node.m_store.Commit(
       transaction, Millis(1'000), [this](Result<platform::TransactionResult> aResult) {
         REQUIRE(aResult.has_value());
@@ -54,6 +65,27 @@
     RunUntil([this] { return m_owner->IsAuthoritative(); });
   }
 
+  /// Replaces the owner as in a planned restart of its node.
+  void HandOver()
+  {
+    bool isDrained = false;
+    m_owner->Drain([&] { isDrained = true; });
+    REQUIRE(RunUntil([&] { return isDrained; }));
+    m_owner.reset();
+    ++m_claim.m_epoch;
+    Claim();
+  }
+
+  /// Cordons the minion's machine and runs until it is reported as drained.
+  void DrainMachine()
+  {
+    REQUIRE(RunUntil([this] {
+      return !m_owner->ApplyRestrictions({ { kMachine }, {} }).m_drainedMachines.empty();
+    }));
+  }
+
+  bool IsRecovering() const { return m_owner->Scheduler().IsRecovering(LeaseClockNow()); }
+
   static platform::NodeSettings MakeSettings(std::uint16_t aPort)
   {
     platform::NodeSettings settings;
@@ -77,7 +109,7 @@
     job::MinionEntry entry;
     entry.m_id = aId;
     entry.m_pool = kPool;
-    entry.m_machine = "machine";
+    entry.m_machine = kMachine;
     entry.m_startedAtMs = 1;
     entry.m_address = fmt::format("127.0.0.1:{}", m_minionServer.Port());
     entry.m_capacity = { 1'000, 1'000, 0 };
@@ -107,6 +139,7 @@
   job::OwnerRow m_claim;
   TimerHandle m_answerTimer;
   int m_minionCalls = 0;
+  bool m_isMinionGone = false; ///< It answers no calls.
   StandinServer m_minionServer;
   std::optional<PoolOwner> m_owner;
 };
@@ -154,3 +187,27 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.IsRecorded(kMinion); }));
   CHECK(MonotonicNow() - registeredAt > kTwoResponses);
 }
+
+TEST_CASE("a new owner does not wait for a minion whose machine was taken when it was drained")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.DrainMachine();
+  fixture.m_isMinionGone = true;
+  fixture.HandOver();
+  CHECK_FALSE(fixture.IsRecovering());
+}
+
+TEST_CASE("a new owner waits for a minion that was used again after it had been drained")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.DrainMachine();
+  fixture.m_owner->ApplyRestrictions({});
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.m_isMinionGone = true;
+  fixture.HandOver();
+  CHECK(fixture.IsRecovering());
+}
