Node, job: the wait for an unresponsive minion goes on over planned handovers

Cause: an owner that takes a pool over waits for the longest lease that any earlier owner may have given to a minion that does not answer, 4.4 s, counted from its own claim. In a planned restart of all nodes the owners of a pool follow each other within 1.5 to 4.5 s, so the wait begins anew each time and inherited units do not start. Change: an owner that hands its pool over gives no more leases to minions that do not answer, and records how long those last that they have. The next owner waits for that time alone. Owners after it do not rely on the record, since the one between may have given leases; the epoch of the claim tells. Nodes of an older release ignore the record and wait for the full time.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -144,6 +144,9 @@
   void RemoveMinion(const std::string& aId, TimePoint aNow);
   /// Called for the current incarnation of a machine: minions of earlier ones run nothing any more.
   void OnMachineIncarnation(const MachineIncarnation& aLatest, TimePoint aNow);
+  /// Called before the pool is handed over: returns the recorded minions that do not answer, and
+  /// gives them no more leases. The next owner need not wait beyond those that they have.
+  std::vector<std::string> EndLeasesOfUnresponsive();
   /// Registers a minion to which an earlier owner may have given work: inherited jobs wait until
   /// the minion has answered, or a call that was sent after its longest lease has failed.
   void AwaitMinion(const std::string& aId, TimePoint aLeaseEnd);
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -119,6 +119,7 @@
   /// The record is removed because the minion is leaving and has no work. If it stays after all, it
   /// has to answer before it is recorded again.
   bool m_isReleased = false;
+  bool m_isLeaseFinal = false;       ///< It gets no more leases from this owner.
   std::string m_heldForJob;          ///< Being emptied for a unit that needs isolation.
   std::map<std::string, Run> m_runs; ///< By UnitId::Text().
   int m_isolatedRuns = 0;            ///< Runs with m_isIsolated.
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -88,6 +88,19 @@
   }
 }
 
+std::vector<std::string> PoolScheduler::EndLeasesOfUnresponsive()
+{
+  std::vector<std::string> unresponsive;
+  for (auto& [id, minion] : m_minions) {
+    if (minion.m_isRecorded && (minion.m_missedCalls > 0 || m_awaited.contains(id))) {
+      minion.m_isRecorded = false;
+      minion.m_isLeaseFinal = true;
+      unresponsive.push_back(id);
+    }
+  }
+  return unresponsive;
+}
+
 void PoolScheduler::AwaitMinion(const std::string& aId, TimePoint aLeaseEnd)
 {
   m_awaited[aId] = aLeaseEnd;
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -95,7 +95,7 @@
   platform::HoldRequest request;
   // The lease of a minion that does not answer is not extended, so that its work can start
   // elsewhere when the last lease expires.
-  request.m_leaseUntilMs = m_isUnreachable ? 0 : LeaseDeadlineMs(now);
+  request.m_leaseUntilMs = m_isUnreachable || minion.m_isLeaseFinal ? 0 : LeaseDeadlineMs(now);
   // After a failed call the minion may have restarted, which restarts the numbering of run ends.
   request.m_acknowledgedEnd = m_isUnreachable ? 0 : m_savedEndNumber;
   // A minion without work may be needed elsewhere, so its last run ends are acknowledged at once.
@@ -203,7 +203,7 @@
     m_owner.m_batchWriter.Put(
       kUsedMinionTable,
       m_minion,
-      EncodeUsedMinion(found->second.m_entry),
+      EncodeUsedMinion({ found->second.m_entry, {} }),
       [this, seenEnd, startMs = m_knownStartMs, alive = std::weak_ptr<int>(m_alive)](
         WriteOutcome aOutcome) {
         if (!alive.expired() && aOutcome == WriteOutcome::Saved && startMs == m_knownStartMs) {
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -1,7 +1,6 @@
 #include "node/PoolOwner.h"
 
 #include "mustardtray/process/Log.h"
-#include "node/UsedMinion.h"
 
 namespace mustardtray::node {
 
@@ -255,7 +254,8 @@
     return;
   }
   const job::MinionState& minion = found->second;
-  if (!minion.m_isRegistered || minion.m_isRecorded || minion.m_isReleased) {
+  if (!minion.m_isRegistered || minion.m_isRecorded || minion.m_isReleased ||
+      minion.m_isLeaseFinal) {
     return;
   }
   const std::uint64_t number = ++m_lastRecordNumber;
@@ -264,7 +264,7 @@
   m_batchWriter.Put(
     kUsedMinionTable,
     aId,
-    EncodeUsedMinion(minion.m_entry),
+    EncodeUsedMinion({ minion.m_entry, {} }),
     [this, aId, number, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
       if (alive.expired() || aOutcome != WriteOutcome::Saved) {
         return;
@@ -295,6 +295,21 @@
   }
 }
 
+void PoolOwner::RecordFinalLeases()
+{
+  const TimePoint now = LeaseClockNow();
+  for (const std::string& id : m_scheduler.EndLeasesOfUnresponsive()) {
+    const job::MinionState& minion = m_scheduler.Minions().at(id);
+    const Millis left = std::chrono::ceil<Millis>(minion.m_leaseEnd - now);
+    m_batchWriter.Put(
+      kUsedMinionTable,
+      id,
+      EncodeUsedMinion(
+        { minion.m_entry, FinalLease{ m_claim.m_epoch, std::max(left, Millis{ 0 }) } }),
+      [](WriteOutcome) {});
+  }
+}
+
 void PoolOwner::OnMachineIncarnation(const job::MachineIncarnation& aIncarnation)
 {
   if (!m_isLoaded) {
@@ -344,6 +359,9 @@
 
 void PoolOwner::Drain(std::function<void()> aDone)
 {
+  if (!m_isDraining && m_isLoaded) {
+    RecordFinalLeases();
+  }
   m_isDraining = true;
   if (m_batchWriter.IsIdle() && m_pendingSubmissions.empty()) {
     aDone();
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -14,6 +14,7 @@
 #include "node/MinionSession.h"
 #include "node/NodeContext.h"
 #include "node/PoolBatchWriter.h"
+#include "node/UsedMinion.h"
 
 namespace mustardtray::node {
 
@@ -101,6 +102,10 @@
   void RecordMinion(const std::string& aId);
   void RemoveRecord(const std::string& aId);
   void RemoveRecordsOfDrained();
+  /// Records for how long the minions that do not answer may still run work.
+  void RecordFinalLeases();
+  /// Longest time from the claim on for which the minion may run work of earlier owners.
+  Millis LongestInheritedLease(const UsedMinion& aMinion) const;
   void EndSessionsOfErasedMinions();
   void AddJob(const job::JobRecord& aRecord, bool aIsLate);
   TimePoint FirstRefusalTime(const std::string& aId) const;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -1,7 +1,8 @@
 #include "node/PoolOwner.h"
 
+#include <algorithm>
+
 #include "mustardtray/process/Log.h"
-#include "node/UsedMinion.h"
 
 /// Loads a pool's state from the store; the owner decides nothing before.
 
@@ -66,6 +67,15 @@
                          });
 }
 
+Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
+{
+  const Millis longest = job::Scaled(MaxRunLease(m_context), kClockSlowdown) + kTakeoverMargin;
+  const std::optional<FinalLease>& final = aMinion.m_finalLease;
+  // Owners between the one that wrote the row and this one may have given other leases.
+  const bool isOfFormerOwner = final && final->m_epoch + 1 == m_claim.m_epoch;
+  return isOfFormerOwner ? std::min(final->m_left, longest) : longest;
+}
+
 void PoolOwner::StartLoading()
 {
   const auto toMap = [](std::map<std::string, std::string>& aTarget) {
@@ -78,13 +88,13 @@
   const auto onHead = [this](std::vector<platform::Row>& aRows) { m_batchWriter.LoadHead(aRows); };
   const TimePoint claimedAt = LeaseClockNow();
   const auto onMinions = [this, claimedAt](std::vector<platform::Row>& aRows) {
-    const TimePoint leaseEnd =
-      claimedAt + job::Scaled(MaxRunLease(m_context), kClockSlowdown) + kTakeoverMargin;
     for (const platform::Row& row : aRows) {
       const std::string& id = row.m_rowId.m_key;
+      const UsedMinion used = DecodeUsedMinion(id, row.m_value);
+      const TimePoint leaseEnd = claimedAt + LongestInheritedLease(used);
       m_scheduler.AwaitMinion(id, leaseEnd);
       job::MinionState& minion = m_scheduler.Minions()[id];
-      minion.m_entry = DecodeUsedMinion(id, row.m_value);
+      minion.m_entry = used.m_entry;
       minion.m_isRegistered = false;
       minion.m_isRecorded = true;
       minion.m_leaseEnd = leaseEnd;
--- a/src/node/UsedMinion.cpp
+++ b/src/node/UsedMinion.cpp
@@ -8,22 +8,32 @@
 
 using nlohmann::json;
 
-std::string EncodeUsedMinion(const job::MinionEntry& aEntry)
+std::string EncodeUsedMinion(const UsedMinion& aMinion)
 {
-  return json{
-    { "addr", aEntry.m_address }, { "machine", aEntry.m_machine }, { "born", aEntry.m_startedAtMs }
-  }.dump();
+  const job::MinionEntry& entry = aMinion.m_entry;
+  json out{ { "addr", entry.m_address },
+            { "machine", entry.m_machine },
+            { "born", entry.m_startedAtMs } };
+  if (aMinion.m_finalLease) {
+    out["epoch"] = aMinion.m_finalLease->m_epoch;
+    out["lease_left_ms"] = aMinion.m_finalLease->m_left.count();
+  }
+  return out.dump();
 }
 
-job::MinionEntry DecodeUsedMinion(const std::string& aId, const std::string& aText)
+UsedMinion DecodeUsedMinion(const std::string& aId, const std::string& aText)
 {
-  job::MinionEntry entry;
-  entry.m_id = aId;
+  UsedMinion minion;
+  minion.m_entry.m_id = aId;
   try {
     const json in = json::parse(aText);
-    entry.m_address = in.at("addr").get<std::string>();
-    entry.m_machine = in.at("machine").get<std::string>();
-    entry.m_startedAtMs = in.at("born").get<std::int64_t>();
+    minion.m_entry.m_address = in.at("addr").get<std::string>();
+    minion.m_entry.m_machine = in.at("machine").get<std::string>();
+    minion.m_entry.m_startedAtMs = in.at("born").get<std::int64_t>();
+    if (in.contains("lease_left_ms")) {
+      minion.m_finalLease = FinalLease{ in.at("epoch").get<std::uint32_t>(),
+                                        Millis{ in.at("lease_left_ms").get<Millis::rep>() } };
+    }
   } catch (const json::exception& fault) {
     Log(LogCategory::Fleet,
         LogLevel::Error,
@@ -33,7 +43,7 @@
         "error",
         fault.what());
   }
-  return entry;
+  return minion;
 }
 
 } // namespace mustardtray::node
--- a/src/node/UsedMinion.h
+++ b/src/node/UsedMinion.h
@@ -1,17 +1,33 @@
 #pragma once
 
 /// Stored form of a minion that may run work of a pool. It has what a later owner needs to reach
-/// the minion and to tell whether the minion has restarted since.
+/// the minion, to tell whether the minion has restarted since, and for how long to wait for it.
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "mustardtray/job/Minion.h"
 
 namespace mustardtray::node {
 
-std::string EncodeUsedMinion(const job::MinionEntry& aEntry);
+/// End of the leases of a minion that does not answer, recorded by an owner that hands its pool
+/// over and gives the minion no other lease.
+struct FinalLease
+{
+  std::uint32_t m_epoch = 0; ///< Of the owner's claim; later owners may give leases again.
+  Millis m_left{ 0 };        ///< Counts from before the row was written.
+};
+
+struct UsedMinion
+{
+  job::MinionEntry m_entry;
+  std::optional<FinalLease> m_finalLease;
+};
+
+std::string EncodeUsedMinion(const UsedMinion& aMinion);
 /// Returns an entry without an address when the text is invalid; the minion then counts as
 /// unreachable.
-job::MinionEntry DecodeUsedMinion(const std::string& aId, const std::string& aText);
+UsedMinion DecodeUsedMinion(const std::string& aId, const std::string& aText);
 
 } // namespace mustardtray::node
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -71,6 +71,12 @@
     bool isDrained = false;
     m_owner->Drain([&] { isDrained = true; });
     REQUIRE(RunUntil([&] { return isDrained; }));
+    Crash();
+  }
+
+  /// Replaces the owner by one that claims the pool after a crash of its node.
+  void Crash()
+  {
     m_owner.reset();
     ++m_claim.m_epoch;
     Claim();
@@ -84,6 +90,16 @@
     }));
   }
 
+  /// Hands the pool over in a series of planned restarts for some time.
+  void RestartInSeries(Millis aTime)
+  {
+    constexpr Millis kTimeOfOwner{ 1'000 };
+    for (const TimePoint end = MonotonicNow() + aTime; MonotonicNow() < end;) {
+      m_io.run_for(kTimeOfOwner);
+      HandOver();
+    }
+  }
+
   bool IsRecovering() const { return m_owner->Scheduler().IsRecovering(LeaseClockNow()); }
 
   static platform::NodeSettings MakeSettings(std::uint16_t aPort)
@@ -211,3 +227,32 @@
   fixture.HandOver();
   CHECK(fixture.IsRecovering());
 }
+
+TEST_CASE("a series of planned restarts does not prolong the wait for a minion that is gone")
+{
+  // Leases last for 4 s at most; a long-running unit has to run again within 6 s.
+  constexpr Millis kMaxWait{ 6'000 };
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.m_isMinionGone = true;
+  fixture.HandOver();
+  REQUIRE(fixture.IsRecovering());
+  fixture.RestartInSeries(kMaxWait);
+  CHECK_FALSE(fixture.IsRecovering());
+}
+
+TEST_CASE("an owner does not rely on the final leases that an owner before the former one recorded")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.m_isMinionGone = true;
+  fixture.HandOver();
+  fixture.m_io.run_for(Millis(3'000));
+  fixture.HandOver(); // The row that this owner finds has the rest of the lease.
+  const TimePoint restEnd = LeaseClockNow() + Millis(2'000);
+  REQUIRE(fixture.m_owner->Scheduler().Minions().at(kMinion).m_leaseEnd < restEnd);
+  fixture.Crash(); // The next owner may find a minion to which this one gave leases.
+  CHECK(fixture.m_owner->Scheduler().Minions().at(kMinion).m_leaseEnd > restEnd);
+}
