Planner: maintenance orders without a known result keep their places in the wave

Cause: a machine counted against the limit from the answer to its order on, or when the machine list showed it. While the order was in flight, or after a call without an answer, its place could go to another machine: when a spare machine began and the order of the candidates changed with the load of their pools. Change: sent orders keep their places until they are known to have failed; orders of unknown result are repeated, which tells the result. Both tests fail without the change (4 instead of 3 machines; a spare machine is taken while the result is unknown).

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -80,10 +80,14 @@
   void AddWave(const WaveRequest& aRequest, std::set<std::string> aBegun);
   /// Stores the latest report from the owner of a shard.
   void SetReport(const std::string& aPool, PoolReport aReport);
+  /// Called when an order is sent.
+  void OnOrderSent(const MachineOrder& aOrder);
   /// Called when an order was carried out.
   void OnOrderDone(const MachineOrder& aOrder, TimePoint aNow);
-  /// Called when an order was not carried out or its result is unknown.
+  /// Called when an order was not carried out.
   void OnOrderFailed(const MachineOrder& aOrder, TimePoint aNow);
+  /// Called when it is not known whether an order was or will be carried out.
+  void OnOrderUnanswered(const MachineOrder& aOrder, TimePoint aNow);
 
   FleetPlan Plan(const Deployment& aDeployment, const ShardMap& aShards, TimePoint aNow);
   const std::map<std::uint64_t, WaveState>& Waves() const { return m_waves; }
@@ -144,6 +148,10 @@
   };
   std::map<std::string, DoneOrder> m_doneOrders; ///< Latest order of each machine.
   std::map<std::string, TimePoint> m_retryAt;    ///< Next attempt after a failed order.
+  /// Machines with maintenance orders that are sent and not known to have failed, by wave. They may
+  /// be down.
+  std::map<std::uint64_t, std::set<std::string>> m_openMaintenance;
+  std::set<std::string> m_inFlight;              ///< Machines whose orders have no result yet.
   std::set<std::string> m_awaitingMaintenance;   ///< See FindAwaitingMaintenance().
   std::set<std::string> m_maintenanceCandidates; ///< Machines cordoned for maintenance.
   /// A move that waits until no work is left on its machine.
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -49,8 +49,17 @@
   m_reports[aPool] = std::move(aReport);
 }
 
+void FleetPlanner::OnOrderSent(const MachineOrder& aOrder)
+{
+  m_inFlight.insert(aOrder.m_machine);
+  if (aOrder.m_wave > 0) {
+    m_openMaintenance[aOrder.m_wave].insert(aOrder.m_machine);
+  }
+}
+
 void FleetPlanner::OnOrderDone(const MachineOrder& aOrder, TimePoint aNow)
 {
+  m_inFlight.erase(aOrder.m_machine);
   const Millis unavailableTime = aOrder.m_wave > 0 ? m_times.m_maintenanceTime : m_times.m_moveTime;
   m_doneOrders[aOrder.m_machine] = { aNow,
                                      aNow + unavailableTime + kMachineListDelay,
@@ -59,11 +68,21 @@
   m_pendingMoves.erase(aOrder.m_machine);
   if (aOrder.m_wave > 0) {
     m_waves.at(aOrder.m_wave).m_begun.insert(aOrder.m_machine);
+    m_openMaintenance[aOrder.m_wave].erase(aOrder.m_machine);
   }
 }
 
 void FleetPlanner::OnOrderFailed(const MachineOrder& aOrder, TimePoint aNow)
 {
+  OnOrderUnanswered(aOrder, aNow);
+  if (aOrder.m_wave > 0) {
+    m_openMaintenance[aOrder.m_wave].erase(aOrder.m_machine);
+  }
+}
+
+void FleetPlanner::OnOrderUnanswered(const MachineOrder& aOrder, TimePoint aNow)
+{
+  m_inFlight.erase(aOrder.m_machine);
   m_retryAt[aOrder.m_machine] = aNow + kOrderRetryDelay;
   m_pendingMoves.erase(aOrder.m_machine);
 }
@@ -99,33 +118,47 @@
 {
   const PoolSpec* spare = aDeployment.SparePool();
   std::vector<const Machine*> pending;
+  std::vector<const Machine*> open;
   std::uint32_t down = 0;
   std::size_t spareDown = 0;
   if (aWave.m_plannedSince == TimePoint{}) {
     aWave.m_plannedSince = aNow;
   }
+  const std::set<std::string>& openNames = m_openMaintenance[aWave.m_request.m_number];
   for (const std::string& name : aWave.m_request.m_machines) {
     const auto found = m_machines.find(name);
     if (found == m_machines.end()) {
       continue; // The machine was removed.
     }
     const bool hasStarted = aWave.m_begun.contains(name);
-    if (found->second.m_state == MachineState::Maintenance ||
+    const bool isOpen = !hasStarted && openNames.contains(name);
+    if (found->second.m_state == MachineState::Maintenance || isOpen ||
         (hasStarted && HasActiveOrder(name, aNow))) {
       ++down;
       spareDown += spare && found->second.m_pool == spare->m_name ? 1 : 0;
     }
     if (!hasStarted) {
-      pending.push_back(&found->second);
+      (isOpen ? open : pending).push_back(&found->second);
     }
   }
-  if (pending.empty()) {
+  if (pending.empty() && open.empty()) {
     aPlan.m_completedWaves.push_back(aWave.m_request.m_number);
     return;
   }
   const auto isSpare = [&](const Machine* aMachine) {
     return spare && aMachine->m_pool == spare->m_name;
   };
+  // Orders with an unknown result are repeated until it is known, and keep their places until then.
+  for (const Machine* machine : open) {
+    const std::string shard = isSpare(machine) ? machine->m_pool : ShardOf(*machine);
+    const bool isReady = isSpare(machine) || IsDrained(shard, machine->m_name);
+    if (!isSpare(machine)) {
+      aPlan.m_restrictions[shard].m_cordoned.insert(machine->m_name);
+    }
+    if (isReady && !m_inFlight.contains(machine->m_name) && IsOrderAllowed(machine->m_name, aNow)) {
+      aPlan.m_orders.push_back({ machine->m_name, aWave.m_request.m_number, {}, shard });
+    }
+  }
   const auto key = [&](const Machine* aMachine) {
     const bool isChosen = m_maintenanceCandidates.contains(aMachine->m_name);
     return std::tuple(!isChosen, PoolUtilization(ShardOf(*aMachine)), aMachine->m_name);
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -281,6 +281,7 @@
     return;
   }
   m_pendingOrders.insert(aOrder.m_machine);
+  m_planner.OnOrderSent(aOrder);
   m_announcedOrders.OnOrder(aOrder.m_machine, now);
   Log(LogCategory::Fleet,
       LogLevel::Info,
@@ -353,7 +354,11 @@
         aOrder.m_machine,
         "result",
         static_cast<int>(aOrderResult));
-    m_planner.OnOrderFailed(aOrder, LeaseClockNow());
+    if (aOrderResult == platform::MachineOrderResult::NoAnswer) {
+      m_planner.OnOrderUnanswered(aOrder, LeaseClockNow());
+    } else {
+      m_planner.OnOrderFailed(aOrder, LeaseClockNow());
+    }
     return;
   }
   m_planner.OnOrderDone(aOrder, LeaseClockNow());
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -136,6 +136,67 @@
   CHECK(plan.m_restrictions.at("hot").m_awaitingMaintenance == std::set<std::string>{ "hot0" });
 }
 
+TEST_CASE("a wave takes no machine beyond its limit while a maintenance order has no result yet")
+{
+  FleetFixture fixture;
+  fixture.m_planner.AddWave({ 1, { "cold0", "hot0", "hot1", "spare0" }, Millis(20'000), 3 }, {});
+  fixture.Report("hot", 0, {});
+  fixture.ReportDrained("cold", { "cold0" });
+  std::size_t begun = 0;
+  for (const MachineOrder& order :
+       fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now).m_orders) {
+    fixture.m_planner.OnOrderSent(order);
+    ++begun;
+    if (order.m_machine == "spare0") {
+      fixture.m_planner.OnOrderDone(order, fixture.m_now);
+    }
+  }
+  REQUIRE(begun == 2);
+  // The pool of the machine whose order has no result becomes the busiest one.
+  PoolReport busy;
+  busy.m_load.m_capacityCpu = 64'000;
+  busy.m_load.m_waitingCpu = 64'000;
+  busy.m_reportedAt = fixture.m_now;
+  fixture.m_planner.SetReport("cold", busy);
+  fixture.ReportDrained("hot", { "hot0", "hot1" });
+  begun +=
+    fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now).m_orders.size();
+  CHECK(begun == 3);
+}
+
+TEST_CASE("a wave takes no machine beyond its limit after a maintenance order of unknown result")
+{
+  FleetFixture fixture;
+  fixture.m_planner.AddWave({ 1, { "cold0", "spare0" }, Millis(20'000), 1 }, {});
+  fixture.ReportDrained("cold", { "cold0" });
+  const auto plan = [&] {
+    return fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now).m_orders;
+  };
+  const auto setSpareState = [&](MachineState aState) {
+    for (Machine& machine : fixture.m_machines) {
+      machine.m_state = machine.m_name == "spare0" ? aState : machine.m_state;
+    }
+    fixture.m_planner.SetMachines(fixture.m_machines, fixture.m_now);
+  };
+  setSpareState(MachineState::Moving);
+  std::vector<MachineOrder> orders = plan();
+  REQUIRE(orders.size() == 1);
+  const MachineOrder first = orders[0];
+  REQUIRE(first.m_machine == "cold0");
+  fixture.m_planner.OnOrderSent(first);
+  fixture.m_planner.OnOrderUnanswered(first, fixture.m_now);
+  setSpareState(MachineState::Up);
+  CHECK(plan().empty());
+  // The order is repeated, which tells its result.
+  fixture.m_now += Millis(1'000);
+  orders = plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].m_machine == first.m_machine);
+  fixture.m_planner.OnOrderFailed(first, fixture.m_now);
+  fixture.m_now += Millis(1'000);
+  CHECK(plan().size() == 1);
+}
+
 TEST_CASE("a wave is complete when maintenance of each existing machine has begun")
 {
   FleetFixture fixture;
