Membership: a node that has just started claims pools that are released to it

Cause: a leaving node names the node with the fewest pools as its successor, mostly one that has just started. That node claims nothing until it has seen all others for 1.6 s, and when it is stopped before, the pool is without an owner. Change: a row that names this node as the successor is claimed at once, like the pools of its former process. The claim is conditional on the row, and the former owner has released it, so the view of other nodes is not needed. The test fails without the change (no claim within 1 s).

--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -72,9 +72,9 @@
   void ReadSilentOwners();
   void OnOwners(const std::vector<platform::Row>& aRows, bool aIsComplete);
   void UpdateOwnership();
-  /// Claims the pools that this node's former process owned; that process has ended, so the other
-  /// nodes need not be known for it.
-  void ReclaimOwnPools();
+  /// Claims the pools that this node's former process owned, since that process has ended, and
+  /// those that were released to this node. The other nodes need not be known for it.
+  void ClaimAssignedPools();
   void EvictNode(const std::string& aNode);
   void ClaimPool(const std::string& aPool);
   /// Releases pools whose claim by this node was written after it began to leave.
--- a/src/node/MembershipClaims.cpp
+++ b/src/node/MembershipClaims.cpp
@@ -75,7 +75,7 @@
     ReleaseLateClaims();
   }
   if (m_nodesFollowedSince == TimePoint{} || now - m_nodesFollowedSince < kCompleteViewTime) {
-    ReclaimOwnPools();
+    ClaimAssignedPools();
     return;
   }
   if (m_view.m_owners.empty() && now - m_registeredAt < kFirstClaimDelay) {
@@ -105,12 +105,17 @@
   }
 }
 
-void Membership::ReclaimOwnPools()
+void Membership::ClaimAssignedPools()
 {
   std::vector<std::string> pools;
+  if (m_view.m_selfIsLeaving) {
+    return;
+  }
   for (const auto& [pool, owner] : m_view.m_owners) {
-    if (owner.m_node == m_view.m_self && !owner.m_isReleased && !m_view.m_selfIsLeaving &&
-        !m_ownedPools.contains(pool) && !m_pendingOwnershipWrites.contains(pool)) {
+    const bool isAssigned = owner.m_isReleased ? owner.m_successor == m_view.m_self &&
+                                                   m_context.m_deployment.m_version > 0
+                                               : owner.m_node == m_view.m_self;
+    if (isAssigned && !m_ownedPools.contains(pool) && !m_pendingOwnershipWrites.contains(pool)) {
       pools.push_back(pool);
     }
   }
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -233,3 +233,20 @@
   fixture.RunUntilClaimed(Millis(12'000));
   CHECK(fixture.m_claimed.contains(kPool));
 }
+
+TEST_CASE("a node that has just started claims a pool that was released to it")
+{
+  // All other nodes are leaving, so the pool has no owner until this one claims it.
+  constexpr Millis kMaxTime{ 1'000 };
+  MembershipFixture fixture;
+  fixture.WriteOtherOwner();
+  fixture.StartMembership();
+  job::OwnerRow owner;
+  owner.m_node = "other";
+  owner.m_incarnation = "other-1";
+  owner.m_isReleased = true;
+  owner.m_successor = "self";
+  fixture.Commit(kOwnerTable, kPool, job::EncodeOwnerRow(owner));
+  fixture.RunUntilClaimed(kMaxTime);
+  CHECK(fixture.m_claimed.contains(kPool));
+}
