Node: a leaving node keeps its pools until another node can take them

A stopping process lives on for up to 4.8 s of its grace period, so with restarts that are closer together than that all nodes can be leaving at the same time. Change: while all other nodes are leaving or silent, a leaving node goes on as the owner, and hands its pools over when a node has registered, or 0.6 s before it exits.

--- a/include/mustardtray/job/Ownership.h
+++ b/include/mustardtray/job/Ownership.h
@@ -73,6 +73,10 @@
 /// pools for its size; empty when there is none.
 std::string ChooseSuccessor(const OwnershipView& aView, const std::string& aPool, TimePoint aNow);
 
+/// Whether a leaving node should hand its pools over now: a node can take them, or it is too late
+/// to wait for one. Pools without an owner would lose their running work when its leases end.
+bool ShouldHandOver(const OwnershipView& aView, TimePoint aDeadline, TimePoint aNow);
+
 std::string EncodeNodeRow(const NodeRow& aRow);
 Result<NodeRow> DecodeNodeRow(const std::string& aName, const std::string& aValue);
 std::string EncodeOwnerRow(const OwnerRow& aRow);
--- a/src/job/Ownership.cpp
+++ b/src/job/Ownership.cpp
@@ -132,6 +132,16 @@
   return ChooseCandidate(aView, aPool, counts, aNow, aView.m_self);
 }
 
+bool ShouldHandOver(const OwnershipView& aView, TimePoint aDeadline, TimePoint aNow)
+{
+  const bool hasSuccessor =
+    std::any_of(aView.m_nodes.begin(), aView.m_nodes.end(), [&](const auto& aEntry) {
+      const NodeRow& node = aEntry.second;
+      return aEntry.first != aView.m_self && IsLive(node, aNow) && !node.m_isLeaving;
+    });
+  return hasSuccessor || aNow >= aDeadline;
+}
+
 std::string EncodeNodeRow(const NodeRow& aRow)
 {
   json out{ { "inc", aRow.m_incarnation }, { "addr", aRow.m_address }, { "cpu", aRow.m_cpuCores } };
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -45,6 +45,11 @@
   void ReleasePool(const job::OwnerRow& aClaim, std::function<void(std::string aSuccessor)> aDone);
   /// Announces that this node is leaving; it claims no more pools.
   void StartLeaving();
+  /// See job::ShouldHandOver().
+  bool ShouldHandOver(TimePoint aDeadline) const
+  {
+    return job::ShouldHandOver(m_view, aDeadline, LeaseClockNow());
+  }
   /// Checks ownership now instead of at the next period.
   void RequestDecision();
   /// Drops the record that this node owns the pool, so that it can be claimed again.
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -38,6 +38,10 @@
 constexpr Millis kPeerCallTimeout{ 600 };
 /// Time before the SIGKILL that follows SIGTERM; pending responses must have been sent by then.
 constexpr Millis kStopMargin{ 1'200 };
+/// Part of the time to stop that is left for handing over pools.
+constexpr Millis kHandOverTime{ 600 };
+/// Between checks whether there is a node that can take over pools.
+constexpr Millis kHandOverRetryDelay{ 50 };
 
 std::string MakeIncarnation()
 {
@@ -402,6 +406,20 @@
     Log(LogCategory::Process, LogLevel::Info, "stopping");
     m_isStopping = true;
     m_membership->StartLeaving();
+    const Millis serveFor =
+      std::max(m_settings.m_bounds.m_terminationGrace - kStopMargin, kStopMargin);
+    m_stopTimer = m_timers.After(serveFor, [this] { FinishStopping(); });
+    HandOverPools(LeaseClockNow() + serveFor - kHandOverTime);
+  }
+
+  /// Hands all pools over, as soon as there is a node that can take them.
+  void HandOverPools(TimePoint aDeadline)
+  {
+    if (!m_membership->ShouldHandOver(aDeadline)) {
+      m_handOverTimer =
+        m_timers.After(kHandOverRetryDelay, [this, aDeadline] { HandOverPools(aDeadline); });
+      return;
+    }
     for (auto& [pool, owner] : m_owners) {
       owner->Drain([this, name = pool] {
         if (PoolOwner* drained = FindOwner(name)) {
@@ -412,9 +430,6 @@
     if (m_orderController) {
       m_orderController->Drain([this] { HandOver(m_orderController->Claim()); });
     }
-    const Millis serveFor =
-      std::max(m_settings.m_bounds.m_terminationGrace - kStopMargin, kStopMargin);
-    m_stopTimer = m_timers.After(serveFor, [this] { FinishStopping(); });
   }
 
   void HandOver(const job::OwnerRow& aClaim)
@@ -465,6 +480,7 @@
   std::map<std::uint64_t, job::WaveRequest> m_knownWaves;
   std::vector<TimerHandle> m_removalTimers;
   TimerHandle m_summaryTimer;
+  TimerHandle m_handOverTimer;
   TimerHandle m_stopTimer;
   TimerHandle m_exitTimer;
   bool m_isStopping = false;
--- a/tests/job/OwnershipTest.cpp
+++ b/tests/job/OwnershipTest.cpp
@@ -144,6 +144,21 @@
   CHECK(ChooseSuccessor(view, "p", kStart) == "c");
 }
 
+TEST_CASE("a leaving node keeps its pools until another node can take them")
+{
+  const TimePoint deadline = kStart + Millis(4'000);
+  OwnershipView view = MakeView("a");
+  view.m_selfIsLeaving = true;
+  view.m_nodes["b"].m_isLeaving = true;
+  view.m_nodes["c"].m_isLeaving = true;
+  CHECK_FALSE(ShouldHandOver(view, deadline, kStart));
+  CHECK(ShouldHandOver(view, deadline, deadline));
+  view.m_nodes["b"] = MakeNode("b", kStart);
+  CHECK(ShouldHandOver(view, deadline, kStart));
+  const TimePoint isUnresponsive = kStart + kNodeTimeout;
+  CHECK_FALSE(ShouldHandOver(view, deadline, isUnresponsive));
+}
+
 TEST_CASE("rows are unchanged after encoding and decoding, malformed ones are errors")
 {
   OwnerRow owner = OwnedBy("a");
