Node, job: a minion that never answered has no leases to wait for

A minion that is registered and does not answer gets no lease, but an owner that handed its pool over before the first call had failed left a record without the end of the leases, and the next owner waited for 4.4 s. The registration of a minion whose machine was taken stays for some seconds, so this occurs at each planned handover beside moves. Change: minions that have not answered this owner count as unresponsive at the handover. The test fails without the change. Not covered: an owner that crashes leaves the record as it is.

--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -92,7 +92,8 @@
 {
   std::vector<std::string> unresponsive;
   for (auto& [id, minion] : m_minions) {
-    if (minion.m_isRecorded && (minion.m_missedCalls > 0 || m_awaited.contains(id))) {
+    const bool isUnresponsive = minion.m_missedCalls > 0 || !minion.m_isFenced;
+    if (minion.m_isRecorded && isUnresponsive) {
       minion.m_isRecorded = false;
       minion.m_isLeaseFinal = true;
       unresponsive.push_back(id);
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -32,12 +32,15 @@
                      0,
                      [this](const std::shared_ptr<StandinExchange>& aExchange) {
                        ++m_minionCalls;
+                       m_latestCall = aExchange->Request().m_body;
                        if (m_isMinionGone) {
                          return;
                        }
-                       m_answerTimer = m_timers.After(kAnswerDelay, [aExchange] {
+                       m_answerTimer = m_timers.After(kAnswerDelay, [this, aExchange] {
                          aExchange->SendResponse(JsonResponse(
-                           200, R"({"clock_ms":5000,"born":1,"running":[],"ended":[]})"));
+                           200,
+                           fmt::format(R"({{"clock_ms":5000,"born":1,"running":[],"ended":[{}]}})",
+                                       m_listedEnds)));
                        });
                      })
   {
@@ -48,8 +51,14 @@
     Claim();
   }
 
-  /// Creates an owner with a new claim.
+  /// Creates an owner with a new claim and waits until it has loaded.
   void Claim()
+  {
+    StartClaim();
+    RunUntil([this] { return m_owner->IsAuthoritative(); });
+  }
+
+  void StartClaim()
   {
     platform::Transaction transaction;
     transaction.m_writes.push_back(
@@ -62,7 +71,6 @@
       });
     RunUntil([this] { return m_claim.m_version > 0; });
     m_owner.emplace(m_node.m_context, m_claim, [] {});
-    RunUntil([this] { return m_owner->IsAuthoritative(); });
   }
 
   /// Replaces the owner as in a planned restart of its node.
@@ -155,6 +163,8 @@
   job::OwnerRow m_claim;
   TimerHandle m_answerTimer;
   int m_minionCalls = 0;
+  std::string m_latestCall;    ///< Body of the latest call to the minion.
+  std::string m_listedEnds;    ///< Rows of run ends in the minion's answers.
   bool m_isMinionGone = false; ///< It answers no calls.
   StandinServer m_minionServer;
   std::optional<PoolOwner> m_owner;
@@ -256,3 +266,15 @@
   fixture.Crash(); // The next owner may find a minion to which this one gave leases.
   CHECK(fixture.m_owner->Scheduler().Minions().at(kMinion).m_leaseEnd > restEnd);
 }
+
+TEST_CASE("a new owner does not wait for the leases of a minion that never answered the former one")
+{
+  // One call has to fail; the longest lease lasts for 4 s.
+  constexpr Millis kMaxWait{ 2'000 };
+  PoolOwnerFixture fixture;
+  fixture.m_isMinionGone = true;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsRecorded(kMinion); }, Millis(300)));
+  fixture.HandOver();
+  CHECK(fixture.RunUntil([&] { return !fixture.IsRecovering(); }, kMaxWait));
+}
