Node: the record of a drained minion that lists ends later is removed again

A minion that was cut off, was drained meanwhile and then lists the ends of its runs got its record back with the write that follows the ends, and kept it: the removal took place once. A new owner waited for the minion although its machine had been taken. Change: that write makes the minion one whose record can be removed, which happens when its ends have been acknowledged. The test fails without the change.

--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -200,6 +200,7 @@
   const std::uint64_t seenEnd = found->second.m_lastProcessedEnd;
   if (seenEnd > m_savedEndNumber) {
     // The progress that follows from these run ends is queued for writing ahead of this row.
+    found->second.m_isReleased = false;
     m_owner.m_batchWriter.Put(
       kUsedMinionTable,
       m_minion,
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -278,3 +278,21 @@
   fixture.HandOver();
   CHECK(fixture.RunUntil([&] { return !fixture.IsRecovering(); }, kMaxWait));
 }
+
+TEST_CASE("a new owner does not wait for a drained minion that listed an end when it was drained")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.DrainMachine();
+  fixture.m_listedEnds = R"([1,"10ddb0855991ac07.0.0.2",1,"lapsed",""])";
+  fixture.m_io.run_for(Millis(800));
+  fixture.m_listedEnds.clear();
+  fixture.m_io.run_for(Millis(1'500));
+  const job::MinionState& minion = fixture.m_owner->Scheduler().Minions().at(kMinion);
+  REQUIRE(minion.m_lastProcessedEnd == 1);
+  REQUIRE(minion.m_lastAcknowledgedEnd == 1);
+  fixture.m_isMinionGone = true;
+  fixture.Crash();
+  CHECK_FALSE(fixture.IsRecovering());
+}
