Node: an owner gives no leases once the release of its pool is on its way

While the store's answer to the release is awaited, for up to 1.2 s, the former owner kept giving leases of up to 4 s to minions that it could reach; so did one that was told to stop while it was loading. Change: no leases from just before the release is sent. Each pool is handed over by itself.

--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -95,7 +95,8 @@
   platform::HoldRequest request;
   // The lease of a minion that does not answer is not extended, so that its work can start
   // elsewhere when the last lease expires.
-  request.m_leaseUntilMs = m_isUnreachable || minion.m_isLeaseFinal ? 0 : LeaseDeadlineMs(now);
+  const bool getsNoLease = m_isUnreachable || minion.m_isLeaseFinal || m_owner.m_hasEndedLeases;
+  request.m_leaseUntilMs = getsNoLease ? 0 : LeaseDeadlineMs(now);
   // After a failed call the minion may have restarted, which restarts the numbering of run ends.
   request.m_acknowledgedEnd = m_isUnreachable ? 0 : m_savedEndNumber;
   // A minion without work may be needed elsewhere, so its last run ends are acknowledged at once.
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -409,27 +409,50 @@
     const Millis serveFor =
       std::max(m_settings.m_bounds.m_terminationGrace - kStopMargin, kStopMargin);
     m_stopTimer = m_timers.After(serveFor, [this] { FinishStopping(); });
-    HandOverPools(LeaseClockNow() + serveFor - kHandOverTime);
+    m_handOverDeadline = LeaseClockNow() + serveFor - kHandOverTime;
+    for (const auto& [pool, owner] : m_owners) {
+      HandOverPool(pool);
+    }
+    HandOverMachineOrders();
   }
 
-  /// Hands all pools over, as soon as there is a node that can take them.
-  void HandOverPools(TimePoint aDeadline)
+  /// Hands a pool over as soon as there is a node that can take it. The owner goes on until then;
+  /// when it has to wait again after it was drained, it still extends the leases of what runs.
+  void HandOverPool(const std::string& aPool)
   {
-    if (!m_membership->ShouldHandOver(aDeadline)) {
-      m_handOverTimer =
-        m_timers.After(kHandOverRetryDelay, [this, aDeadline] { HandOverPools(aDeadline); });
+    const auto retry = [this, aPool] {
+      m_handOverTimers[aPool] =
+        m_timers.After(kHandOverRetryDelay, [this, aPool] { HandOverPool(aPool); });
+    };
+    PoolOwner* owner = FindOwner(aPool);
+    if (!owner) {
       return;
     }
-    for (auto& [pool, owner] : m_owners) {
-      owner->Drain([this, name = pool] {
-        if (PoolOwner* drained = FindOwner(name)) {
-          HandOver(drained->Claim());
-        }
-      });
+    if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
+      retry();
+      return;
     }
-    if (m_orderController) {
-      m_orderController->Drain([this] { HandOver(m_orderController->Claim()); });
+    owner->Drain([this, aPool, retry] {
+      PoolOwner* drained = FindOwner(aPool);
+      if (!drained) {
+        return;
+      }
+      drained->EndLeases();
+      HandOver(drained->Claim());
+    });
+  }
+
+  void HandOverMachineOrders()
+  {
+    if (!m_orderController) {
+      return;
+    }
+    if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
+      m_handOverTimers[kFleetPartition] =
+        m_timers.After(kHandOverRetryDelay, [this] { HandOverMachineOrders(); });
+      return;
     }
+    m_orderController->Drain([this] { HandOver(m_orderController->Claim()); });
   }
 
   void HandOver(const job::OwnerRow& aClaim)
@@ -480,7 +503,8 @@
   std::map<std::uint64_t, job::WaveRequest> m_knownWaves;
   std::vector<TimerHandle> m_removalTimers;
   TimerHandle m_summaryTimer;
-  TimerHandle m_handOverTimer;
+  TimePoint m_handOverDeadline{};
+  std::map<std::string, TimerHandle> m_handOverTimers; ///< By pool.
   TimerHandle m_stopTimer;
   TimerHandle m_exitTimer;
   bool m_isStopping = false;
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -72,6 +72,9 @@
   FleetReport ApplyRestrictions(const job::MachineRestrictions& aRestrictions);
   /// Accepts and starts nothing more. The callback runs when all writes to the store have ended.
   void Drain(std::function<void()> aDone);
+  /// Gives no more leases: from now on the pool may have another owner, although this node does not
+  /// know yet and still has its own lease.
+  void EndLeases() { m_hasEndedLeases = true; }
 
 private:
   friend class MinionSession;
@@ -141,6 +144,7 @@
   bool m_isLoaded = false;
   bool m_isClosed = false;
   bool m_isDraining = false;
+  bool m_hasEndedLeases = false;
 };
 
 } // namespace mustardtray::node
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -79,6 +79,7 @@
     bool isDrained = false;
     m_owner->Drain([&] { isDrained = true; });
     REQUIRE(RunUntil([&] { return isDrained; }));
+    m_owner->EndLeases();
     Crash();
   }
 
@@ -296,3 +297,25 @@
   fixture.Crash();
   CHECK_FALSE(fixture.IsRecovering());
 }
+
+TEST_CASE("an owner whose pool may have another owner gives no leases")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  bool isDrained = false;
+  SUBCASE("it has loaded the pool") {}
+  SUBCASE("it loads the pool when it is told to stop")
+  {
+    fixture.m_owner.reset();
+    ++fixture.m_claim.m_epoch;
+    fixture.StartClaim();
+  }
+  fixture.m_owner->Drain([&] { isDrained = true; });
+  REQUIRE(fixture.RunUntil([&] { return isDrained; }));
+  fixture.m_owner->EndLeases();
+  const int calls = fixture.m_minionCalls;
+  fixture.m_io.run_for(Millis(1'100));
+  REQUIRE(fixture.m_minionCalls > calls + 1);
+  CHECK(fixture.m_latestCall.find("until_ms") == std::string::npos);
+}
