Node: a drained pool is not released to nobody while its node can keep it

A node that was about to hand a pool over waited 1 s for a slow store to take its last writes; meanwhile the only possible successor began to leave, and the pool was released without one. Nobody owned it for 13 s, and its work lapsed. Change: whether a node can take the pool is checked again when the owner is drained.

--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -437,6 +437,10 @@
       if (!drained) {
         return;
       }
+      if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
+        retry();
+        return;
+      }
       drained->EndLeases();
       HandOver(drained->Claim());
     });
