--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -19,6 +19,9 @@
 
 namespace mustardtray::soak {
 
+inline constexpr Micros kStartupTime{ 3'000'000 };
+inline constexpr std::size_t kPoolCount = 2;
+
 struct SoakOptions
 {
   std::string m_nodeProgram; ///< Executable of the nodes.
