Soak: planned work in overlapping series (--series)

The soak had one short series of two restarts, no second wave and a demand that hardly moves machines, and its long-running units never ended by themselves.

The demand moves between the queues with lulls, and half of the long-running jobs have units that end by themselves. No more than half of the nodes are stopped at once.

Kept connections: a caller closed its connection when a response announced the end. The submissions, polls and cancels of the simulated callers count too, as soon as every request must be answered.

A long-running job that is shown as failed is a violation however often its units failed: they have no limit of attempts.

--- a/tests/soak/CallerSimulator.cpp
+++ b/tests/soak/CallerSimulator.cpp
@@ -8,16 +8,25 @@
 
 namespace {
 
-constexpr Millis kSubmitPeriod{ 70 };
 constexpr Millis kPollPeriod{ 500 };
 constexpr Millis kRequestDeadline{ 3'000 };
+/// A response that is missing for nearly the deadline is a timeout.
+constexpr Millis kTimeoutMargin{ 200 };
 constexpr Micros kRetryDelay{ 700'000 };
 constexpr int kMaxSubmitAttempts = 6;
 constexpr int kJobsPerLongRunningJob = 30;
+constexpr int kJobsPerEndingLongRunningJob = 15;
 constexpr int kJobsPerCancelledJob = 12;
 constexpr int kJobsPerDeadlyJob = 40;
 /// One of so many jobs fails in every attempt that its queue allows.
 constexpr int kJobsPerFailingJob = 25;
+/// Failures of a unit that never ends well.
+constexpr int kAllRuns = 999;
+
+TimePoint Now()
+{
+  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+}
 
 } // namespace
 
@@ -27,20 +36,21 @@
                                  std::uint64_t aSeed,
                                  std::vector<std::string> aNodeAddresses,
                                  std::vector<std::string> aQueuePrefixes,
-                                 bool aSubmitsDeadlyJobs)
+                                 CallerOptions aOptions)
   : m_timers(aTimers)
   , m_checker(aChecker)
   , m_http(aContext)
   , m_random(aSeed)
   , m_nodeAddresses(std::move(aNodeAddresses))
   , m_queuePrefixes(std::move(aQueuePrefixes))
-  , m_submitsDeadlyJobs(aSubmitsDeadlyJobs)
+  , m_options(std::move(aOptions))
+  , m_demandRandom(aSeed)
 {
 }
 
 void CallerSimulator::Start()
 {
-  m_submitTimer = m_timers.Every(kSubmitPeriod, 0, [this] { SubmitNextJob(); });
+  m_submitTimer = m_timers.Every(m_options.m_submitPeriod, 0, [this] { SubmitNextJob(); });
   m_pollTimer = m_timers.Every(kPollPeriod, 0, [this] { PollJobStates(); });
 }
 
@@ -79,22 +89,33 @@
 {
   HttpCall call;
   call.m_method = aMethod;
-  call.m_url = "http://" +
-               m_nodeAddresses[static_cast<std::size_t>(Draw(0, int(m_nodeAddresses.size()) - 1))] +
-               aPath;
+  const std::string& address =
+    m_nodeAddresses[static_cast<std::size_t>(Draw(0, int(m_nodeAddresses.size()) - 1))];
+  call.m_url = "http://" + address + aPath;
+  std::string request = fmt::format("{} {}", aMethod, call.m_url);
   call.m_headers = { { "Host", "soak.example" },
                      { "Content-Type", "application/json" },
                      { "Deadline-Ms", std::to_string(kRequestDeadline.count()) } };
   call.m_body = std::move(aBody);
   call.m_timeout = kRequestDeadline;
-  m_http.Start(std::move(call), std::move(aDone));
+  m_http.Start(
+    std::move(call),
+    [this, sentAt = Now(), request, done = std::move(aDone)](const HttpCallResult& aResult) {
+      const bool isTimeLeft = Now() - sentAt < kRequestDeadline - kTimeoutMargin;
+      if (!aResult && !aResult.error().m_isNotSent && isTimeLeft) {
+        m_options.m_onBroken(request, sentAt);
+      }
+      done(aResult);
+    });
 }
 
 void CallerSimulator::SubmitNextJob()
 {
   const std::uint64_t number = ++m_jobCount;
-  const bool isLongRunning = number % kJobsPerLongRunningJob == 1;
-  const bool isDeadly = m_submitsDeadlyJobs && number % kJobsPerDeadlyJob == 11;
+  const bool isLongRunning =
+    number % kJobsPerLongRunningJob == 1 ||
+    (m_options.m_variesDemand && number % kJobsPerEndingLongRunningJob == 1);
+  const bool isDeadly = m_options.m_submitsDeadlyJobs && number % kJobsPerDeadlyJob == 11;
   const int cpu = Draw(1, 6) * 500;
   const int runMs = isLongRunning ? 0 : Draw(50, 700);
   const int failures = number % kJobsPerFailingJob == 7 ? int(kMaxAttempts)
@@ -119,9 +140,15 @@
     steps.push_back(std::move(item));
   }
   // The machine stand-in reads the duration, CPU and failures of the unit's runs from the payload.
-  const Json payload{ { "ms", runMs },
+  const int endsAfterMs = std::uniform_int_distribution<int>(3'000, 12'000)(m_demandRandom);
+  // Each end counts as a failure of the minion, so that some units go on.
+  const bool isEnding = isLongRunning && m_options.m_variesDemand && endsAfterMs % 2 == 0;
+  const Json payload{ { "ms", isEnding ? endsAfterMs : runMs },
                       { "cpu", cpu },
-                      { "failures", isLongRunning ? 0 : failures },
+                      { "failures",
+                        isEnding        ? kAllRuns
+                        : isLongRunning ? 0
+                                        : failures },
                       { "deadly", isDeadly } };
   Submission submission;
   submission.m_id = fmt::format("{:016x}", m_random());
@@ -130,11 +157,34 @@
     submission.m_id;
   submission.m_body = Json{ { "spec", payload.dump() }, { "steps", std::move(steps) } }.dump();
   submission.m_isLongRunning = isLongRunning;
+  if (m_options.m_variesDemand && !ShapeDemand(submission)) {
+    return;
+  }
   m_checker.OnSubmitted(
     submission.m_id, platform::DecodeJobSpec(submission.m_body).value(), isDeadly);
   Submit(submission);
 }
 
+bool CallerSimulator::ShapeDemand(Submission& aSubmission)
+{
+  const auto draw = [this](int aMin, int aMax) {
+    return std::uniform_int_distribution<int>(aMin, aMax)(m_demandRandom);
+  };
+  if (Now() >= m_demandChangesAt) {
+    m_demandChangesAt = Now() + Millis(draw(1'500, 4'000));
+    m_busyQueue = static_cast<std::size_t>(draw(0, static_cast<int>(m_queuePrefixes.size()) - 1));
+    m_isLull = draw(0, 2) == 0;
+  }
+  const bool isOffPeak = draw(0, 9) == 0;
+  if (aSubmission.m_isLongRunning) {
+    return true;
+  }
+  if (!isOffPeak) {
+    aSubmission.m_path = m_queuePrefixes[m_busyQueue] + aSubmission.m_id;
+  }
+  return !m_isLull || isOffPeak;
+}
+
 void CallerSimulator::Submit(const Submission& aSubmission)
 {
   SendRequest(
--- a/tests/soak/CallerSimulator.h
+++ b/tests/soak/CallerSimulator.h
@@ -16,6 +16,17 @@
 
 namespace mustardtray::soak {
 
+struct CallerOptions
+{
+  bool m_submitsDeadlyJobs = false;
+  /// The demand moves from queue to queue with lulls between, and long-running units end from time
+  /// to time.
+  bool m_variesDemand = false;
+  Millis m_submitPeriod{ 70 };
+  /// Called when a request that was sent got no response and its time had not passed.
+  std::function<void(const std::string& aRequest, TimePoint aSentAt)> m_onBroken;
+};
+
 class CallerSimulator
 {
 public:
@@ -27,7 +38,7 @@
                   std::uint64_t aSeed,
                   std::vector<std::string> aNodeAddresses,
                   std::vector<std::string> aQueuePrefixes,
-                  bool aSubmitsDeadlyJobs);
+                  CallerOptions aOptions);
 
   void Start();
   /// Stops submitting new jobs. Polling of states continues.
@@ -56,6 +67,8 @@
                    const std::string& aPath,
                    std::string aBody,
                    HttpCallback aDone);
+  /// Returns whether the job is submitted, and may give it another queue.
+  bool ShapeDemand(Submission& aSubmission);
   int Draw(int aMin, int aMax);
 
   TimerService& m_timers;
@@ -67,7 +80,12 @@
   std::map<std::string, std::string>
     m_acceptedPaths; ///< URL paths of the accepted jobs, by job ID.
   std::vector<std::string> m_longRunningJobs;
-  bool m_submitsDeadlyJobs = false;
+  CallerOptions m_options;
+  /// Separate, so that the jobs of a seed stay the same.
+  std::mt19937_64 m_demandRandom;
+  TimePoint m_demandChangesAt{};
+  std::size_t m_busyQueue = 0;
+  bool m_isLull = false;
   bool m_cancelsLongRunning = false;
   std::uint64_t m_jobCount = 0;
   TimerHandle m_submitTimer;
--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -66,7 +66,8 @@
          ++unit) {
       hasExhaustedUnit = hasExhaustedUnit || unit->second.m_failures >= kMaxAttempts;
     }
-    if (!hasExhaustedUnit && !job.m_isDeadly) {
+    // Long-running units have no limit of attempts.
+    if ((!hasExhaustedUnit || job.m_spec.IsLongRunning()) && !job.m_isDeadly) {
       ReportViolation("reported as failed although no unit has failed in all attempts: " + aJob);
     }
   }
--- a/tests/soak/KeptConnection.cpp
+++ b/tests/soak/KeptConnection.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr Millis kRequestPause{ 20 };
 constexpr Millis kReconnectDelay{ 100 };
 
 TimePoint Now()
@@ -27,11 +26,13 @@
 KeptConnection::KeptConnection(asio::io_context& aContext,
                                TimerService& aTimers,
                                const std::string& aAddress,
+                               Habits aHabits,
                                PathCallback aNextPath,
                                BrokenCallback aOnBroken)
   : m_timers(aTimers)
   , m_endpoint(asio::ip::make_address(aAddress.substr(0, aAddress.find(':'))),
                static_cast<std::uint16_t>(std::stoul(aAddress.substr(aAddress.find(':') + 1))))
+  , m_habits(aHabits)
   , m_nextPath(std::move(aNextPath))
   , m_onBroken(std::move(aOnBroken))
   , m_socket(aContext)
@@ -71,7 +72,7 @@
 {
   const std::string path = m_nextPath();
   if (path.empty()) {
-    m_timer = m_timers.After(kRequestPause, [this] { SendRequest(); });
+    m_timer = m_timers.After(m_habits.m_pause, [this] { SendRequest(); });
     return;
   }
   m_request =
@@ -122,11 +123,11 @@
                        return;
                      }
                      m_buffer.consume(aBytes);
-                     if (m_mustReconnect) {
+                     if (m_mustReconnect && !m_habits.m_usesUntilEnded) {
                        OnEnded(false);
                        return;
                      }
-                     m_timer = m_timers.After(kRequestPause, [this] { SendRequest(); });
+                     m_timer = m_timers.After(m_habits.m_pause, [this] { SendRequest(); });
                    }));
 }
 
--- a/tests/soak/KeptConnection.h
+++ b/tests/soak/KeptConnection.h
@@ -22,10 +22,16 @@
   /// Called when the connection ended before a request had its complete response. aSentAt: when the
   /// request was written.
   using BrokenCallback = std::function<void(TimePoint aSentAt)>;
+  struct Habits
+  {
+    Millis m_pause{ 0 };           ///< Between a response and the next request.
+    bool m_usesUntilEnded = false; ///< Goes on after a response that announces the end.
+  };
   /// aAddress: IP address and port of the node.
   KeptConnection(asio::io_context& aContext,
                  TimerService& aTimers,
                  const std::string& aAddress,
+                 Habits aHabits,
                  PathCallback aNextPath,
                  BrokenCallback aOnBroken);
 
@@ -42,6 +48,7 @@
 
   TimerService& m_timers;
   asio::ip::tcp::endpoint m_endpoint;
+  Habits m_habits;
   PathCallback m_nextPath;
   BrokenCallback m_onBroken;
   asio::ip::tcp::socket m_socket;
--- a/tests/soak/RowStoreStandin.cpp
+++ b/tests/soak/RowStoreStandin.cpp
@@ -63,6 +63,16 @@
   ServeWaitingFeeds();
 }
 
+std::string RowStoreStandin::Value(const std::string& aTable,
+                                   const std::string& aPartition,
+                                   const std::string& aKey) const
+{
+  const auto row = m_rows.find({ aTable, aPartition, aKey });
+  return row == m_rows.end() || row->second.m_isDeleted
+           ? std::string{}
+           : platform::DecodeBase64(row->second.m_value);
+}
+
 bool RowStoreStandin::CountRead()
 {
   const TimePoint now = MonotonicNow();
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -48,6 +48,10 @@
   // Writes of the operator and the minions, which no injected fault affects.
   void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aTable, const std::string& aKey);
+  /// Returns the value of a row; empty when there is none.
+  std::string Value(const std::string& aTable,
+                    const std::string& aPartition,
+                    const std::string& aKey) const;
 
 private:
   struct Row
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -18,7 +18,7 @@
 constexpr int kExitUsage = 2;
 
 /// Returns whether all guarantees held. Keeps the directory with the logs of the nodes otherwise.
-bool RunSeed(std::uint64_t aSeed, mustardtray::soak::SoakOptions aOptions)
+bool RunSeed(std::uint64_t aSeed, mustardtray::soak::SoakOptions aOptions, bool aKeepsLogs)
 {
   aOptions.m_seed = aSeed;
   aOptions.m_folder = fmt::format("{}/seed-{}-{}", aOptions.m_folder, aSeed, getpid());
@@ -41,7 +41,7 @@
     std::cout << "  " << description << "\n";
   }
   std::cout << std::flush;
-  if (violations.empty()) {
+  if (violations.empty() && !aKeepsLogs) {
     std::filesystem::remove_all(folder);
   } else {
     std::cout << "  logs: " << folder << "\n";
@@ -64,11 +64,15 @@
     "duration of the fault phase in seconds",
     cxxopts::value<int>()->default_value("12"))(
     "nodes", "number of node processes", cxxopts::value<std::size_t>()->default_value("4"))(
-    "calm", "inject no faults")(
+    "machines", "machines per pool", cxxopts::value<std::size_t>()->default_value("5"))(
+    "calm", "inject no faults")("series",
+                                "do planned work in overlapping series; with --calm nothing else")(
+    "keep-logs", "keep the logs of runs without violations too")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
   mustardtray::soak::SoakOptions soakOptions;
   std::vector<std::uint64_t> seeds;
+  bool keepsLogs = false;
   try {
     const cxxopts::ParseResult parsed = options.parse(aCount, aArguments);
     if (parsed.count("help") > 0) {
@@ -80,6 +84,9 @@
     soakOptions.m_nodeCount = parsed["nodes"].as<std::size_t>();
     soakOptions.m_faultDuration = mustardtray::Millis(parsed["seconds"].as<int>() * 1'000);
     soakOptions.m_injectsFaults = parsed.count("calm") == 0;
+    keepsLogs = parsed.count("keep-logs") > 0;
+    soakOptions.m_machinesPerPool = parsed["machines"].as<std::size_t>();
+    soakOptions.m_hasPlannedWork = parsed.count("series") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
       seeds = parsed["seeds"].as<std::vector<std::uint64_t>>();
@@ -94,7 +101,7 @@
   }
   std::size_t failed = 0;
   for (const std::uint64_t seed : seeds) {
-    failed += RunSeed(seed, soakOptions) ? 0 : 1;
+    failed += RunSeed(seed, soakOptions, keepsLogs) ? 0 : 1;
   }
   std::cout << fmt::format("{} passed, {} failed\n", seeds.size() - failed, failed);
   return failed == 0 ? kExitSuccess : kExitFailure;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <unistd.h>
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include "mustardtray/process/Log.h"
@@ -17,14 +18,14 @@
 constexpr std::uint16_t kReadyPort = 8622;
 constexpr std::uint16_t kPeerPort = 7060;
 constexpr Millis kWatchPeriod{ 100 };
+constexpr Millis kCallerPause{ 20 };
+constexpr Millis kSlowCallerPause{ 700 };
+constexpr std::size_t kFewNodes = 8;
 /// The nodes take over within seconds; the limit is several times as long.
 constexpr Millis kMaxCalmDuration{ 25'000 };
 /// Minimum duration of the calm phase, so that late writes and orders arrive before the final
 /// check.
 constexpr Millis kMinCalmDuration{ 4'000 };
-constexpr std::size_t kMachinesPerPool = 5;
-/// Shards of the last pool; the others have one.
-constexpr std::size_t kShardCount = 2;
 /// A unit of a long-running job is missing when it has not run for this time.
 constexpr Millis kMaxUnitAbsence{ 9'000 };
 /// Calm time until all units of long-running jobs must run: the loss of the owner shows after the
@@ -32,7 +33,10 @@
 constexpr Millis kLongRunningCheckDelay = kContactTime + kMaxUnitAbsence;
 /// A connection may end without a response to a request that was sent so shortly before.
 constexpr Millis kLossSlack{ 500 };
-constexpr std::size_t kSpareMachineCount = 3;
+constexpr int kDefaultMachinesPerPool = 5;
+constexpr std::size_t kDefaultSpareCount = 3;
+constexpr Millis kSubmitPeriod{ 70 };
+constexpr Millis kMinSubmitPeriod{ 10 };
 
 TimePoint Now()
 {
@@ -55,19 +59,23 @@
   : m_options(std::move(aOptions))
   , m_random(m_options.m_seed)
   , m_connectionRandom(m_options.m_seed)
+  , m_plannedRandom(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
   WriteConfiguration();
   std::vector<std::string> queues;
   for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
     queues.push_back(QueuePrefix(pool));
-    m_store.PutWithoutHistory(
-      "shards", PoolName(pool), "row", std::to_string(pool + 1 == kPoolCount ? kShardCount : 1));
-    for (std::size_t machine = 0; machine < kMachinesPerPool; ++machine) {
+    const std::size_t shards = pool + 1 == kPoolCount ? kShardCount : 1;
+    m_store.PutWithoutHistory("shards", PoolName(pool), "row", std::to_string(shards));
+    m_shards.Set(PoolName(pool), shards);
+    for (std::size_t machine = 0; machine < m_options.m_machinesPerPool; ++machine) {
       m_machines.AddMachine(fmt::format("m-{}-{}", pool, machine), PoolName(pool), false);
     }
   }
-  for (std::size_t machine = 0; machine < kSpareMachineCount; ++machine) {
+  const std::size_t spareCount = std::max<std::size_t>(
+    1, kDefaultSpareCount * m_options.m_machinesPerPool / kDefaultMachinesPerPool);
+  for (std::size_t machine = 0; machine < spareCount; ++machine) {
     m_machines.AddMachine(fmt::format("m-spare-{}", machine), "spare", true);
   }
   m_machines.SetGuarded(PoolName(0));
@@ -78,13 +86,17 @@
   for (const auto& [name, node] : m_nodes) {
     addresses.push_back(node->m_callerAddress);
   }
-  m_callers = std::make_unique<CallerSimulator>(m_context,
-                                                m_timers,
-                                                m_checker,
-                                                m_options.m_seed,
-                                                addresses,
-                                                std::move(queues),
-                                                m_options.m_hasDeadlyUnits);
+  CallerOptions callers;
+  callers.m_submitsDeadlyJobs = m_options.m_hasDeadlyUnits;
+  callers.m_variesDemand = m_options.m_hasPlannedWork;
+  callers.m_onBroken = [this](const std::string& aRequest, TimePoint aSentAt) {
+    OnRequestBroken(aRequest, aSentAt);
+  };
+  callers.m_submitPeriod = std::max(kMinSubmitPeriod,
+                                    kSubmitPeriod * kDefaultMachinesPerPool /
+                                      std::max(1, static_cast<int>(m_options.m_machinesPerPool)));
+  m_callers = std::make_unique<CallerSimulator>(
+    m_context, m_timers, m_checker, m_options.m_seed, addresses, std::move(queues), callers);
 }
 
 SoakRun::~SoakRun()
@@ -108,12 +120,24 @@
   const std::string settings = fmt::format("{}/{}.conf", m_options.m_folder, process.m_name);
   process.m_command = { m_options.m_nodeProgram, "node", "--settings", settings };
   WriteSettings(*node, ip);
-  node->m_keptConnection = std::make_unique<KeptConnection>(
-    m_context,
-    m_timers,
-    node->m_callerAddress,
-    [this] { return DrawJobPath(); },
-    [this, &node = *node](TimePoint aSentAt) { OnRequestBroken(node, aSentAt); });
+  // One process makes all calls.
+  const Millis pause = kCallerPause * std::max<std::size_t>(1, m_options.m_nodeCount / kFewNodes);
+  std::vector<KeptConnection::Habits> callers{ { pause, false } };
+  if (m_options.m_hasPlannedWork) {
+    callers.push_back({ kSlowCallerPause, false });
+    callers.push_back({ pause, true });
+  }
+  for (const KeptConnection::Habits& habits : callers) {
+    node->m_keptConnections.emplace_back(
+      m_context,
+      m_timers,
+      node->m_callerAddress,
+      habits,
+      [this] { return DrawJobPath(); },
+      [this, &node = *node](TimePoint aSentAt) {
+        OnRequestBroken("kept connection to " + node.m_callerAddress, aSentAt);
+      });
+  }
   m_nodes.emplace(process.m_name, std::move(node));
 }
 
@@ -170,7 +194,12 @@
   m_phaseTimer = m_timers.After(kStartupTime, [this] {
     m_callers->Start();
     for (auto& [name, node] : m_nodes) {
-      node->m_keptConnection->Connect();
+      for (KeptConnection& connection : node->m_keptConnections) {
+        connection.Connect();
+      }
+    }
+    if (m_options.m_hasPlannedWork) {
+      StartPlannedWork();
     }
     if (m_options.m_injectsFaults) {
       InjectFault();
@@ -239,16 +268,21 @@
   RestartEndedNodes();
 }
 
-void SoakRun::OnRequestBroken(const Node& aNode, TimePoint aSentAt)
+void SoakRun::OnRequestBroken(const std::string& aRequest, TimePoint aSentAt)
 {
   // This process may have been held up between the end of the connection and its handling.
   Micros heldUp = HeldUpNow();
   for (const auto& [at, duration] : m_holdUps) {
     heldUp += at > aSentAt ? duration : Micros{ 0 };
   }
-  if (m_mustAnswerAll && Now() - aSentAt - heldUp > kLossSlack) {
-    m_checker.ReportViolation("a connection ended without a response to a request: " +
-                              aNode.m_process.m_name);
+  const auto age = std::chrono::duration_cast<Millis>(Now() - aSentAt - heldUp);
+  if (m_mustAnswerAll && age > kLossSlack) {
+    m_checker.ReportViolation(
+      fmt::format("a connection ended without a response to a request: {}, {} ms after it was "
+                  "sent, at {:%T}",
+                  aRequest,
+                  age.count(),
+                  std::chrono::floor<Millis>(std::chrono::system_clock::now())));
   }
 }
 
@@ -296,7 +330,7 @@
   }
   m_callers->CancelLongRunningJobs();
   m_mustAnswerAll = true;
-  if (m_options.m_injectsFaults) {
+  if (m_options.m_injectsFaults || m_options.m_hasPlannedWork) {
     StartPlannedSeries();
   }
   m_calmStart = Now();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -7,8 +7,10 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
+#include "mustardtray/job/Shards.h"
 #include "standin/LocalProcess.h"
 #include "tests/soak/CallerSimulator.h"
 #include "tests/soak/FaultProxy.h"
@@ -21,6 +23,8 @@
 
 inline constexpr Micros kStartupTime{ 3'000'000 };
 inline constexpr std::size_t kPoolCount = 2;
+/// Shards of the last pool; the others have one.
+inline constexpr std::size_t kShardCount = 2;
 
 struct SoakOptions
 {
@@ -28,8 +32,10 @@
   std::string m_folder;      ///< Directory for settings and logs.
   std::uint64_t m_seed = 1;
   std::size_t m_nodeCount = 4;
+  std::size_t m_machinesPerPool = 5;
   Millis m_faultDuration{ 12'000 };
   bool m_injectsFaults = true;
+  bool m_hasPlannedWork = false; ///< Overlapping series of planned work all the time.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -53,7 +59,7 @@
     LocalProcess m_process;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::string m_callerAddress;
-    std::unique_ptr<KeptConnection> m_keptConnection;
+    std::list<KeptConnection> m_keptConnections;
     TimePoint m_startedAt{};
     bool m_isStopping = false; ///< A signal that ends the process was sent.
     TimerHandle m_restartTimer;
@@ -76,6 +82,19 @@
   void ChangeCapacity(const std::string& aMachine);
   /// Sends signals and changes the configuration and the settings while earlier ones take effect.
   void StartPlannedSeries();
+  /// Begins series of restarts, SIGHUP, configurations and waves that go on until the faults end.
+  void StartPlannedWork();
+  void RestartInSeries();
+  /// Restarts the owner of a pool, then its successor, and so on.
+  void RestartOwners(const std::string& aShard, std::size_t aCount);
+  void ReloadInSeries();
+  void ChangeConfigurations();
+  void StartWaves();
+  /// Waits while half of the nodes are down.
+  void TerminateInTurn(Node& aNode);
+  bool IsUp(const Node& aNode) const;
+  std::vector<Node*> NodesInRandomOrder();
+  Millis DrawPlanned(int aMinMs, int aMaxMs);
   void Terminate(Node& aNode);
   void Reload(const Node& aNode);
   void RunAfter(Millis aDelay, std::function<void()> aFunction);
@@ -84,7 +103,7 @@
   /// Checks that the units of long-running jobs run again, and begins a planned series without
   /// other faults.
   void CheckLongRunningUnits();
-  void OnRequestBroken(const Node& aNode, TimePoint aSentAt);
+  void OnRequestBroken(const std::string& aRequest, TimePoint aSentAt);
   std::string DrawJobPath();
   /// Stops the event loop when all accepted jobs have ended or the calm phase has reached its
   /// maximum duration.
@@ -97,12 +116,14 @@
   std::mt19937_64 m_random;
   /// Separate, so that the pace of requests does not change the faults of a seed.
   std::mt19937_64 m_connectionRandom;
+  std::mt19937_64 m_plannedRandom;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   GuaranteeChecker m_checker;
   RowStoreStandin m_store{ m_context, m_timers };
   MachineStandin m_machines{ m_context, m_timers, m_store, m_checker };
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
+  job::ShardMap m_shards;
   std::unique_ptr<CallerSimulator> m_callers;
   std::uint64_t m_configVersion = 0;
   std::uint64_t m_waveCount = 0;
