Soak: long-running units are watched all through planned work

The check for a long-running unit that does not run although there is room looks once, 13 s after the faults end (4 s of contact time and 9 s), and saw nothing of a unit that waits through restarts. The earlier check stays as it was.

A run prints the longest absence with room.

--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -176,7 +176,10 @@
       const bool isAbsent = record == m_units.end() || (record->second.m_incarnations.empty() &&
                                                         record->second.m_lastEndedAt <= aSince);
       if (isAbsent) {
-        missing.push_back({ unit, step.m_need.m_cpu, step.m_maxPerMinion == 1 });
+        const TimePoint since =
+          record == m_units.end() ? TimePoint{} : record->second.m_lastEndedAt;
+        missing.push_back(
+          { unit, step.m_need.m_cpu, step.m_maxPerMinion == 1, std::max(since, job.m_acceptedAt) });
       }
     }
   }
--- a/tests/soak/GuaranteeChecker.h
+++ b/tests/soak/GuaranteeChecker.h
@@ -41,6 +41,7 @@
     job::UnitId m_unit;
     std::int64_t m_cpu = 0;
     bool m_isSpread = false; ///< Needs a minion without another unit of its step.
+    TimePoint m_absentSince{};
   };
   /// Units of accepted long-running jobs that have not run since a time.
   std::vector<MissingUnit> LongRunningUnitsAbsentSince(TimePoint aSince) const;
--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -208,11 +208,11 @@
   return used;
 }
 
-std::size_t MachineStandin::MachinesWithRoom(const std::string& aPool,
-                                             std::int64_t aCpu,
-                                             const std::string& aExcludedStep) const
+std::vector<std::string> MachineStandin::MachinesWithRoom(const std::string& aPool,
+                                                          std::int64_t aCpu,
+                                                          const std::string& aExcludedStep) const
 {
-  std::size_t count = 0;
+  std::vector<std::string> machines;
   for (const auto& [name, machine] : m_machines) {
     if (machine->m_pool != aPool || !machine->m_incarnation) {
       continue;
@@ -222,9 +222,11 @@
       return aRun.first.starts_with(aExcludedStep);
     });
     const std::int64_t free = machine->m_incarnation->m_cpu - UsedCpu(*machine->m_incarnation);
-    count += !hasUnit && free >= aCpu ? 1 : 0;
+    if (!hasUnit && free >= aCpu) {
+      machines.push_back(name);
+    }
   }
-  return count;
+  return machines;
 }
 
 void MachineStandin::Hang(const std::string& aName, Millis aDuration)
--- a/tests/soak/MachineStandin.h
+++ b/tests/soak/MachineStandin.h
@@ -42,11 +42,11 @@
   void SetGuarded(const std::string& aPool) { m_guardedPools.insert(aPool); }
   /// Changes what the minion registers with its next heartbeat. Its runs go on.
   void SetCapacity(const std::string& aName, std::int64_t aCpu);
-  /// Returns the number of the pool's machines that have this CPU free and no unit of the step,
-  /// given by the common prefix of its unit names.
-  std::size_t MachinesWithRoom(const std::string& aPool,
-                               std::int64_t aCpu,
-                               const std::string& aExcludedStep) const;
+  /// Returns the pool's machines that have this CPU free and no unit of the step, given by the
+  /// common prefix of its unit names.
+  std::vector<std::string> MachinesWithRoom(const std::string& aPool,
+                                            std::int64_t aCpu,
+                                            const std::string& aExcludedStep) const;
   /// Ends the minion at once. The machine starts a new incarnation after aDuration, with the same
   /// minion ID when aKeepsId is set.
   void Crash(const std::string& aName, Millis aDuration, bool aKeepsId);
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -26,17 +26,23 @@
   std::vector<std::string> violations;
   std::size_t accepted = 0;
   std::size_t jobs = 0;
+  mustardtray::Millis longestAbsence{ 0 };
   {
     mustardtray::soak::SoakRun run(std::move(aOptions));
     violations = run.Run();
     accepted = run.AcceptedJobCount();
     jobs = run.JobCount();
+    longestAbsence = run.LongestAbsence();
   }
   std::cout << fmt::format("seed {}: {} of {} jobs accepted, {} guarantees violated\n",
                            aSeed,
                            accepted,
                            jobs,
                            violations.size());
+  if (longestAbsence.count() > 0) {
+    std::cout << fmt::format("  a long-running unit was absent with room for up to {} ms\n",
+                             longestAbsence.count());
+  }
   for (const std::string& description : violations) {
     std::cout << "  " << description << "\n";
   }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -26,8 +26,6 @@
 /// Minimum duration of the calm phase, so that late writes and orders arrive before the final
 /// check.
 constexpr Millis kMinCalmDuration{ 4'000 };
-/// A unit of a long-running job is missing when it has not run for this time.
-constexpr Millis kMaxUnitAbsence{ 9'000 };
 /// Calm time until all units of long-running jobs must run: the loss of the owner shows after the
 /// contact time, then the units may be missing for their time.
 constexpr Millis kLongRunningCheckDelay = kContactTime + kMaxUnitAbsence;
@@ -264,6 +262,9 @@
     m_holdUps.emplace_back(Now(), heldUp);
     Log(LogCategory::Process, LogLevel::Warning, "soak-held-up", "us", heldUp.count());
   }
+  if (m_watchesLongRunningUnits) {
+    WatchLongRunningUnits(HeldUpNow());
+  }
   m_watchedAt = Now();
   RestartEndedNodes();
 }
@@ -315,19 +316,45 @@
   m_phaseTimer = m_timers.After(kLongRunningCheckDelay, [this] { CheckLongRunningUnits(); });
 }
 
+SoakRun::Room SoakRun::FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const
+{
+  const std::string path = m_callers->JobPath(aUnit.m_unit.m_job);
+  const std::string step = aUnit.m_isSpread ? aUnit.m_unit.m_job + "." : " ";
+  Room room;
+  for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
+    if (!path.starts_with(QueuePrefix(pool))) {
+      continue;
+    }
+    room.m_shard = m_shards.Of(PoolName(pool), aUnit.m_unit.m_job);
+    for (const auto& machine : m_machines.MachinesWithRoom(PoolName(pool), aUnit.m_cpu, step)) {
+      ++room.m_minions;
+      room.m_minionsInShard += m_shards.Of(PoolName(pool), machine) == room.m_shard ? 1 : 0;
+    }
+  }
+  return room;
+}
+
+void SoakRun::ReportMissing(const GuaranteeChecker::MissingUnit& aUnit, const char* aWhen)
+{
+  const Room room = FindRoom(aUnit);
+  m_checker.ReportViolation(
+    fmt::format("a long-running unit does not run{} although there is room: {} of {}, {} minions "
+                "with room, {} in its shard",
+                aWhen,
+                aUnit.m_unit.Text(),
+                room.m_shard,
+                room.m_minions,
+                room.m_minionsInShard));
+}
+
 void SoakRun::CheckLongRunningUnits()
 {
   for (const auto& missing : m_checker.LongRunningUnitsAbsentSince(Now() - kMaxUnitAbsence)) {
-    const std::string path = m_callers->JobPath(missing.m_unit.m_job);
-    for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
-      const std::string step = missing.m_isSpread ? missing.m_unit.m_job + "." : " ";
-      if (path.starts_with(QueuePrefix(pool)) &&
-          m_machines.MachinesWithRoom(PoolName(pool), missing.m_cpu, step) >= 2) {
-        m_checker.ReportViolation("a long-running unit does not run although there is room: " +
-                                  missing.m_unit.Text());
-      }
+    if (FindRoom(missing).m_minions >= kMinMinionsWithRoom) {
+      ReportMissing(missing, "");
     }
   }
+  m_watchesLongRunningUnits = false;
   m_callers->CancelLongRunningJobs();
   m_mustAnswerAll = true;
   if (m_options.m_injectsFaults || m_options.m_hasPlannedWork) {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -25,6 +25,10 @@
 inline constexpr std::size_t kPoolCount = 2;
 /// Shards of the last pool; the others have one.
 inline constexpr std::size_t kShardCount = 2;
+/// A unit of a long-running job is missing when it has not run for this time.
+inline constexpr Millis kMaxUnitAbsence{ 9'000 };
+/// There must be room for a unit twice over.
+inline constexpr std::size_t kMinMinionsWithRoom = 2;
 
 struct SoakOptions
 {
@@ -52,6 +56,9 @@
   std::vector<std::string> Run();
   std::size_t AcceptedJobCount() const { return m_checker.AcceptedJobCount(); }
   std::size_t JobCount() const { return m_checker.JobCount(); }
+  /// Longest time that a unit of a long-running job was absent while there was room for it during
+  /// planned work.
+  Millis LongestAbsence() const { return m_longestAbsence; }
 
 private:
   struct Node
@@ -103,6 +110,16 @@
   /// Checks that the units of long-running jobs run again, and begins a planned series without
   /// other faults.
   void CheckLongRunningUnits();
+  struct Room
+  {
+    std::string m_shard;              ///< Of the unit's job.
+    std::size_t m_minions = 0;        ///< Of the pool, with room for the unit.
+    std::size_t m_minionsInShard = 0; ///< Those of them that belong to the shard.
+  };
+  Room FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const;
+  void ReportMissing(const GuaranteeChecker::MissingUnit& aUnit, const char* aWhen);
+  /// Checks during planned work that absent units of long-running jobs start again.
+  void WatchLongRunningUnits(Micros aHeldUp);
   void OnRequestBroken(const std::string& aRequest, TimePoint aSentAt);
   std::string DrawJobPath();
   /// Stops the event loop when all accepted jobs have ended or the calm phase has reached its
@@ -129,6 +146,10 @@
   std::uint64_t m_waveCount = 0;
   TimePoint m_calmStart{};
   bool m_mustAnswerAll = false; ///< Only planned work goes on: every request gets a response.
+  bool m_watchesLongRunningUnits = false;
+  std::map<std::string, TimePoint> m_roomSince; ///< By absent unit.
+  std::set<std::pair<std::string, TimePoint>> m_reportedAbsences;
+  Millis m_longestAbsence{ 0 };
   std::map<std::string, TimerHandle> m_capacityTimers; ///< By machine.
   std::list<TimerHandle> m_delayTimers;
   TimerHandle m_watchTimer;
--- a/tests/soak/SoakRunPlanned.cpp
+++ b/tests/soak/SoakRunPlanned.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Room that lasts shorter than this may be gone before a unit can start.
+constexpr Millis kMinRoomTime{ 3'000 };
+constexpr Millis kMaxHoldUp{ 500 };
 /// After its start a node takes a moment to handle signals.
 constexpr Millis kSignalDelay{ 1'000 };
 
@@ -72,6 +75,7 @@
 {
   m_machines.KeepRegistrations();
   m_mustAnswerAll = !m_options.m_injectsFaults;
+  m_watchesLongRunningUnits = !m_options.m_injectsFaults;
   RestartInSeries();
   ReloadInSeries();
   ChangeConfigurations();
@@ -171,4 +175,31 @@
   RunAfter(DrawPlanned(3'000, 9'000), [this] { StartWaves(); });
 }
 
+void SoakRun::WatchLongRunningUnits(Micros aHeldUp)
+{
+  const TimePoint now = Now();
+  std::map<std::string, TimePoint> roomSince;
+  // While this process was held up, minions and the store did not respond.
+  const bool wasCalm = aHeldUp < kMaxHoldUp;
+  for (const auto& missing : m_checker.LongRunningUnitsAbsentSince(now)) {
+    if (FindRoom(missing).m_minions < kMinMinionsWithRoom) {
+      continue;
+    }
+    const std::string name = missing.m_unit.Text();
+    const auto known = m_roomSince.find(name);
+    const TimePoint since = known == m_roomSince.end() || !wasCalm ? now : known->second;
+    roomSince[name] = since;
+    const auto absence = std::chrono::duration_cast<Millis>(now - missing.m_absentSince);
+    if (now - since < kMinRoomTime) {
+      continue;
+    }
+    m_longestAbsence = std::max(m_longestAbsence, absence);
+    if (absence > kMaxUnitAbsence &&
+        m_reportedAbsences.emplace(name, missing.m_absentSince).second) {
+      ReportMissing(missing, " during planned work");
+    }
+  }
+  m_roomSince = std::move(roomSince);
+}
+
 } // namespace mustardtray::soak
