Soak: a run tells for how long its stand-ins were held up

With many nodes the process with the stand-ins can become the bottleneck; what then breaks is not the nodes' fault. Runs with 0.5 s and more in all print it.

--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -16,6 +16,7 @@
 constexpr int kExitSuccess = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
+constexpr mustardtray::Micros kNotableHoldUp{ 500'000 };
 
 /// Returns whether all guarantees held. Keeps the directory with the logs of the nodes otherwise.
 bool RunSeed(std::uint64_t aSeed, mustardtray::soak::SoakOptions aOptions, bool aKeepsLogs)
@@ -27,12 +28,14 @@
   std::size_t accepted = 0;
   std::size_t jobs = 0;
   mustardtray::Millis longestAbsence{ 0 };
+  mustardtray::Micros heldUp{ 0 };
   {
     mustardtray::soak::SoakRun run(std::move(aOptions));
     violations = run.Run();
     accepted = run.AcceptedJobCount();
     jobs = run.JobCount();
     longestAbsence = run.LongestAbsence();
+    heldUp = run.HeldUp();
   }
   std::cout << fmt::format("seed {}: {} of {} jobs accepted, {} guarantees violated\n",
                            aSeed,
@@ -43,6 +46,10 @@
     std::cout << fmt::format("  a long-running unit was absent with room for up to {} ms\n",
                              longestAbsence.count());
   }
+  if (heldUp >= kNotableHoldUp) {
+    std::cout << fmt::format("  the stand-ins were held up for {} ms in all\n",
+                             heldUp.count() / 1'000);
+  }
   for (const std::string& description : violations) {
     std::cout << "  " << description << "\n";
   }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -256,6 +256,15 @@
                   std::chrono::duration_cast<Micros>(Now() - m_watchedAt - kWatchPeriod));
 }
 
+Micros SoakRun::HeldUp() const
+{
+  Micros sum{ 0 };
+  for (const auto& [at, duration] : m_holdUps) {
+    sum += duration;
+  }
+  return sum;
+}
+
 void SoakRun::Watch()
 {
   if (const Micros heldUp = HeldUpNow(); heldUp > kWatchPeriod) {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -59,6 +59,8 @@
   /// Longest time that a unit of a long-running job was absent while there was room for it during
   /// planned work.
   Millis LongestAbsence() const { return m_longestAbsence; }
+  /// Sum of the times for which this process, and with it each stand-in, was held up.
+  Micros HeldUp() const;
 
 private:
   struct Node
