--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -66,7 +66,8 @@
          ++unit) {
       hasExhaustedUnit = hasExhaustedUnit || unit->second.m_failures >= kMaxAttempts;
     }
-    if (!hasExhaustedUnit && !job.m_isDeadly) {
+    // Long-running units have no limit of attempts.
+    if ((!hasExhaustedUnit || job.m_spec.IsLongRunning()) && !job.m_isDeadly) {
       ReportViolation("reported as failed although no unit has failed in all attempts: " + aJob);
     }
   }
@@ -175,7 +176,10 @@
       const bool isAbsent = record == m_units.end() || (record->second.m_incarnations.empty() &&
                                                         record->second.m_lastEndedAt <= aSince);
       if (isAbsent) {
-        missing.push_back({ unit, step.m_need.m_cpu, step.m_maxPerMinion == 1 });
+        const TimePoint since =
+          record == m_units.end() ? TimePoint{} : record->second.m_lastEndedAt;
+        missing.push_back(
+          { unit, step.m_need.m_cpu, step.m_maxPerMinion == 1, std::max(since, job.m_acceptedAt) });
       }
     }
   }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <unistd.h>
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include "mustardtray/process/Log.h"
@@ -16,25 +17,24 @@
 constexpr std::uint16_t kCallerPort = 8624;
 constexpr std::uint16_t kReadyPort = 8622;
 constexpr std::uint16_t kPeerPort = 7060;
-constexpr Micros kStartupTime{ 3'000'000 };
 constexpr Millis kWatchPeriod{ 100 };
+constexpr Millis kCallerPause{ 20 };
+constexpr Millis kSlowCallerPause{ 700 };
+constexpr std::size_t kFewNodes = 8;
 /// The nodes take over within seconds; the limit is several times as long.
 constexpr Millis kMaxCalmDuration{ 25'000 };
 /// Minimum duration of the calm phase, so that late writes and orders arrive before the final
 /// check.
 constexpr Millis kMinCalmDuration{ 4'000 };
-constexpr std::size_t kPoolCount = 2;
-constexpr std::size_t kMachinesPerPool = 5;
-/// Shards of the last pool; the others have one.
-constexpr std::size_t kShardCount = 2;
-/// A unit of a long-running job is missing when it has not run for this time.
-constexpr Millis kMaxUnitAbsence{ 9'000 };
 /// Calm time until all units of long-running jobs must run: the loss of the owner shows after the
 /// contact time, then the units may be missing for their time.
 constexpr Millis kLongRunningCheckDelay = kContactTime + kMaxUnitAbsence;
 /// A connection may end without a response to a request that was sent so shortly before.
 constexpr Millis kLossSlack{ 500 };
-constexpr std::size_t kSpareMachineCount = 3;
+constexpr int kDefaultMachinesPerPool = 5;
+constexpr std::size_t kDefaultSpareCount = 3;
+constexpr Millis kSubmitPeriod{ 70 };
+constexpr Millis kMinSubmitPeriod{ 10 };
 
 TimePoint Now()
 {
@@ -57,19 +57,23 @@
   : m_options(std::move(aOptions))
   , m_random(m_options.m_seed)
   , m_connectionRandom(m_options.m_seed)
+  , m_plannedRandom(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
   WriteConfiguration();
   std::vector<std::string> queues;
   for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
     queues.push_back(QueuePrefix(pool));
-    m_store.PutWithoutHistory(
-      "shards", PoolName(pool), "row", std::to_string(pool + 1 == kPoolCount ? kShardCount : 1));
-    for (std::size_t machine = 0; machine < kMachinesPerPool; ++machine) {
+    const std::size_t shards = pool + 1 == kPoolCount ? kShardCount : 1;
+    m_store.PutWithoutHistory("shards", PoolName(pool), "row", std::to_string(shards));
+    m_shards.Set(PoolName(pool), shards);
+    for (std::size_t machine = 0; machine < m_options.m_machinesPerPool; ++machine) {
       m_machines.AddMachine(fmt::format("m-{}-{}", pool, machine), PoolName(pool), false);
     }
   }
-  for (std::size_t machine = 0; machine < kSpareMachineCount; ++machine) {
+  const std::size_t spareCount = std::max<std::size_t>(
+    1, kDefaultSpareCount * m_options.m_machinesPerPool / kDefaultMachinesPerPool);
+  for (std::size_t machine = 0; machine < spareCount; ++machine) {
     m_machines.AddMachine(fmt::format("m-spare-{}", machine), "spare", true);
   }
   m_machines.SetGuarded(PoolName(0));
@@ -80,13 +84,17 @@
   for (const auto& [name, node] : m_nodes) {
     addresses.push_back(node->m_callerAddress);
   }
-  m_callers = std::make_unique<CallerSimulator>(m_context,
-                                                m_timers,
-                                                m_checker,
-                                                m_options.m_seed,
-                                                addresses,
-                                                std::move(queues),
-                                                m_options.m_hasDeadlyUnits);
+  CallerOptions callers;
+  callers.m_submitsDeadlyJobs = m_options.m_hasDeadlyUnits;
+  callers.m_variesDemand = m_options.m_hasPlannedWork;
+  callers.m_onBroken = [this](const std::string& aRequest, TimePoint aSentAt) {
+    OnRequestBroken(aRequest, aSentAt);
+  };
+  callers.m_submitPeriod = std::max(kMinSubmitPeriod,
+                                    kSubmitPeriod * kDefaultMachinesPerPool /
+                                      std::max(1, static_cast<int>(m_options.m_machinesPerPool)));
+  m_callers = std::make_unique<CallerSimulator>(
+    m_context, m_timers, m_checker, m_options.m_seed, addresses, std::move(queues), callers);
 }
 
 SoakRun::~SoakRun()
@@ -110,12 +118,24 @@
   const std::string settings = fmt::format("{}/{}.conf", m_options.m_folder, process.m_name);
   process.m_command = { m_options.m_nodeProgram, "node", "--settings", settings };
   WriteSettings(*node, ip);
-  node->m_keptConnection = std::make_unique<KeptConnection>(
-    m_context,
-    m_timers,
-    node->m_callerAddress,
-    [this] { return DrawJobPath(); },
-    [this, &node = *node](TimePoint aSentAt) { OnRequestBroken(node, aSentAt); });
+  // One process makes all calls.
+  const Millis pause = kCallerPause * std::max<std::size_t>(1, m_options.m_nodeCount / kFewNodes);
+  std::vector<KeptConnection::Habits> callers{ { pause, false } };
+  if (m_options.m_hasPlannedWork) {
+    callers.push_back({ kSlowCallerPause, false });
+    callers.push_back({ pause, true });
+  }
+  for (const KeptConnection::Habits& habits : callers) {
+    node->m_keptConnections.emplace_back(
+      m_context,
+      m_timers,
+      node->m_callerAddress,
+      habits,
+      [this] { return DrawJobPath(); },
+      [this, &node = *node](TimePoint aSentAt) {
+        OnRequestBroken("kept connection to " + node.m_callerAddress, aSentAt);
+      });
+  }
   m_nodes.emplace(process.m_name, std::move(node));
 }
 
@@ -172,7 +192,12 @@
   m_phaseTimer = m_timers.After(kStartupTime, [this] {
     m_callers->Start();
     for (auto& [name, node] : m_nodes) {
-      node->m_keptConnection->Connect();
+      for (KeptConnection& connection : node->m_keptConnections) {
+        connection.Connect();
+      }
+    }
+    if (m_options.m_hasPlannedWork) {
+      StartPlannedWork();
     }
     if (m_options.m_injectsFaults) {
       InjectFault();
@@ -216,187 +241,7 @@
   }
 }
 
-void SoakRun::InjectNodeFault(Node& aNode)
-{
-  if (aNode.m_process.m_pid == 0 || aNode.m_isStopping) {
-    return;
-  }
-  switch (Draw(0, 2)) {
-    case 0:
-      aNode.m_isStopping = true;
-      kill(aNode.m_process.m_pid, SIGKILL);
-      break;
-    case 1:
-      Terminate(aNode);
-      break;
-    default:
-      kill(aNode.m_process.m_pid, SIGSTOP);
-      aNode.m_resumeTimer =
-        m_timers.After(DrawMillis(200, 5'000), [pid = aNode.m_process.m_pid, &aNode] {
-          if (aNode.m_process.m_pid == pid) {
-            kill(pid, SIGCONT);
-          }
-        });
-  }
-}
-
-// Faults.
-
-void SoakRun::InjectFault()
-{
-  switch (Draw(0, 9)) {
-    case 0:
-    case 1:
-      InjectNodeFault(DrawNode());
-      break;
-    case 2:
-      InjectLinkFault(DrawNode());
-      break;
-    case 3:
-      InjectStoreFault();
-      break;
-    case 4:
-      InjectMachineFault();
-      break;
-    case 7:
-      for (const std::string& machine : m_machines.MachineNames()) {
-        if (Draw(0, 2) == 0) {
-          ChangeCapacity(machine);
-        }
-      }
-      break;
-    case 8:
-      StartPlannedSeries();
-      break;
-    case 9: {
-      // Long enough that the owners on the node lose their pools.
-      Node& node = DrawNode();
-      node.m_storeProxy->SetFault(LinkFault::Stalled);
-      node.m_linkHealTimer = m_timers.After(
-        DrawMillis(6'000, 10'000), [&node] { node.m_storeProxy->SetFault(LinkFault::None); });
-      break;
-    }
-    case 5:
-      WriteConfiguration();
-      m_store.Compact();
-      break;
-    default:
-      // Several nodes are killed at the same time, so that state survives only in the store.
-      for (auto& [name, node] : m_nodes) {
-        if (Draw(0, 2) == 0 && node->m_process.m_pid != 0) {
-          node->m_isStopping = true;
-          kill(node->m_process.m_pid, SIGKILL);
-        }
-      }
-      if (m_waveCount == 0) {
-        m_machines.StartWave(++m_waveCount, 5, 2);
-      }
-  }
-  m_faultTimer = m_timers.After(DrawMillis(100, 1'500), [this] { InjectFault(); });
-}
-
-void SoakRun::InjectLinkFault(Node& aNode)
-{
-  switch (Draw(0, 3)) {
-    case 0:
-      aNode.m_storeProxy->ResetConnections();
-      return;
-    case 1:
-      aNode.m_storeProxy->SetFault(LinkFault::Delayed);
-      break;
-    case 2:
-      aNode.m_storeProxy->SetFault(LinkFault::Stalled);
-      break;
-    default:
-      aNode.m_storeProxy->SetFault(LinkFault::ResponsesStalled);
-  }
-  aNode.m_linkHealTimer = m_timers.After(
-    DrawMillis(300, 5'000), [&aNode] { aNode.m_storeProxy->SetFault(LinkFault::None); });
-}
-
-void SoakRun::InjectStoreFault()
-{
-  constexpr std::array kFaults{ StoreFault::Busy,
-                                StoreFault::Unresponsive,
-                                StoreFault::Slow,
-                                StoreFault::ResponsesLost,
-                                StoreFault::WritesLate };
-  m_store.SetFault(kFaults[static_cast<std::size_t>(Draw(0, int(kFaults.size()) - 1))]);
-  m_storeHealTimer =
-    m_timers.After(DrawMillis(300, 4'000), [this] { m_store.SetFault(StoreFault::None); });
-}
-
-void SoakRun::InjectMachineFault()
-{
-  const std::vector<std::string> names = m_machines.MachineNames();
-  const std::string& name = names[static_cast<std::size_t>(Draw(0, int(names.size()) - 1))];
-  switch (Draw(0, 3)) {
-    case 0:
-      m_machines.Hang(name, DrawMillis(300, 5'000));
-      break;
-    case 1:
-      ChangeCapacity(name);
-      break;
-    case 2:
-      // The next incarnation may be of another kind.
-      ChangeCapacity(name);
-      [[fallthrough]];
-    default:
-      m_machines.Crash(name, DrawMillis(200, 4'000), Draw(0, 2) > 0);
-  }
-}
-
-void SoakRun::ChangeCapacity(const std::string& aMachine)
-{
-  m_machines.SetCapacity(aMachine, kMachineCpu * Draw(0, 6) / 8);
-  m_capacityTimers[aMachine] = m_timers.After(
-    DrawMillis(2'000, 12'000), [this, aMachine] { m_machines.SetCapacity(aMachine, kMachineCpu); });
-}
-
-// Planned work.
-
-void SoakRun::RunAfter(Millis aDelay, std::function<void()> aFunction)
-{
-  m_delayTimers.push_back(m_timers.After(aDelay, std::move(aFunction)));
-}
-
-void SoakRun::Terminate(Node& aNode)
-{
-  if (aNode.m_process.m_pid != 0 && !aNode.m_isStopping) {
-    aNode.m_isStopping = true;
-    kill(aNode.m_process.m_pid, SIGCONT);
-    kill(aNode.m_process.m_pid, SIGTERM);
-  }
-}
-
-void SoakRun::Reload(const Node& aNode)
-{
-  // A process that has just started does not handle the signal yet.
-  if (aNode.m_process.m_pid != 0 && Now() - aNode.m_startedAt > kStartupTime) {
-    const std::string& address = aNode.m_callerAddress;
-    WriteSettings(aNode, address.substr(0, address.find(':')));
-    kill(aNode.m_process.m_pid, SIGHUP);
-  }
-}
-
-void SoakRun::StartPlannedSeries()
-{
-  Node& first = DrawNode();
-  Node& second = DrawNode();
-  WriteConfiguration();
-  Reload(second);
-  RunAfter(DrawMillis(50, 400), [this, &first] { Terminate(first); });
-  RunAfter(DrawMillis(200, 700), [this, &first, &second] {
-    Reload(first);
-    Reload(second);
-    WriteConfiguration();
-  });
-  RunAfter(DrawMillis(600, 1'500), [this, &second] { Terminate(second); });
-  RunAfter(DrawMillis(700, 2'000), [this, &second] {
-    WriteConfiguration();
-    Reload(second);
-  });
-}
+// Observation.
 
 std::string SoakRun::DrawJobPath()
 {
@@ -411,26 +256,43 @@
                   std::chrono::duration_cast<Micros>(Now() - m_watchedAt - kWatchPeriod));
 }
 
+Micros SoakRun::HeldUp() const
+{
+  Micros sum{ 0 };
+  for (const auto& [at, duration] : m_holdUps) {
+    sum += duration;
+  }
+  return sum;
+}
+
 void SoakRun::Watch()
 {
   if (const Micros heldUp = HeldUpNow(); heldUp > kWatchPeriod) {
     m_holdUps.emplace_back(Now(), heldUp);
     Log(LogCategory::Process, LogLevel::Warning, "soak-held-up", "us", heldUp.count());
   }
+  if (m_watchesLongRunningUnits) {
+    WatchLongRunningUnits(HeldUpNow());
+  }
   m_watchedAt = Now();
   RestartEndedNodes();
 }
 
-void SoakRun::OnRequestBroken(const Node& aNode, TimePoint aSentAt)
+void SoakRun::OnRequestBroken(const std::string& aRequest, TimePoint aSentAt)
 {
   // This process may have been held up between the end of the connection and its handling.
   Micros heldUp = HeldUpNow();
   for (const auto& [at, duration] : m_holdUps) {
     heldUp += at > aSentAt ? duration : Micros{ 0 };
   }
-  if (m_mustAnswerAll && Now() - aSentAt - heldUp > kLossSlack) {
-    m_checker.ReportViolation("a connection ended without a response to a request: " +
-                              aNode.m_process.m_name);
+  const auto age = std::chrono::duration_cast<Millis>(Now() - aSentAt - heldUp);
+  if (m_mustAnswerAll && age > kLossSlack) {
+    m_checker.ReportViolation(
+      fmt::format("a connection ended without a response to a request: {}, {} ms after it was "
+                  "sent, at {:%T}",
+                  aRequest,
+                  age.count(),
+                  std::chrono::floor<Millis>(std::chrono::system_clock::now())));
   }
 }
 
@@ -463,22 +325,48 @@
   m_phaseTimer = m_timers.After(kLongRunningCheckDelay, [this] { CheckLongRunningUnits(); });
 }
 
+SoakRun::Room SoakRun::FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const
+{
+  const std::string path = m_callers->JobPath(aUnit.m_unit.m_job);
+  const std::string step = aUnit.m_isSpread ? aUnit.m_unit.m_job + "." : " ";
+  Room room;
+  for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
+    if (!path.starts_with(QueuePrefix(pool))) {
+      continue;
+    }
+    room.m_shard = m_shards.Of(PoolName(pool), aUnit.m_unit.m_job);
+    for (const auto& machine : m_machines.MachinesWithRoom(PoolName(pool), aUnit.m_cpu, step)) {
+      ++room.m_minions;
+      room.m_minionsInShard += m_shards.Of(PoolName(pool), machine) == room.m_shard ? 1 : 0;
+    }
+  }
+  return room;
+}
+
+void SoakRun::ReportMissing(const GuaranteeChecker::MissingUnit& aUnit, const char* aWhen)
+{
+  const Room room = FindRoom(aUnit);
+  m_checker.ReportViolation(
+    fmt::format("a long-running unit does not run{} although there is room: {} of {}, {} minions "
+                "with room, {} in its shard",
+                aWhen,
+                aUnit.m_unit.Text(),
+                room.m_shard,
+                room.m_minions,
+                room.m_minionsInShard));
+}
+
 void SoakRun::CheckLongRunningUnits()
 {
   for (const auto& missing : m_checker.LongRunningUnitsAbsentSince(Now() - kMaxUnitAbsence)) {
-    const std::string path = m_callers->JobPath(missing.m_unit.m_job);
-    for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
-      const std::string step = missing.m_isSpread ? missing.m_unit.m_job + "." : " ";
-      if (path.starts_with(QueuePrefix(pool)) &&
-          m_machines.MachinesWithRoom(PoolName(pool), missing.m_cpu, step) >= 2) {
-        m_checker.ReportViolation("a long-running unit does not run although there is room: " +
-                                  missing.m_unit.Text());
-      }
+    if (FindRoom(missing).m_minions >= kMinMinionsWithRoom) {
+      ReportMissing(missing, "");
     }
   }
+  m_watchesLongRunningUnits = false;
   m_callers->CancelLongRunningJobs();
   m_mustAnswerAll = true;
-  if (m_options.m_injectsFaults) {
+  if (m_options.m_injectsFaults || m_options.m_hasPlannedWork) {
     StartPlannedSeries();
   }
   m_calmStart = Now();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -7,8 +7,10 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
+#include "mustardtray/job/Shards.h"
 #include "standin/LocalProcess.h"
 #include "tests/soak/CallerSimulator.h"
 #include "tests/soak/FaultProxy.h"
@@ -19,14 +21,25 @@
 
 namespace mustardtray::soak {
 
+inline constexpr Micros kStartupTime{ 3'000'000 };
+inline constexpr std::size_t kPoolCount = 2;
+/// Shards of the last pool; the others have one.
+inline constexpr std::size_t kShardCount = 2;
+/// A unit of a long-running job is missing when it has not run for this time.
+inline constexpr Millis kMaxUnitAbsence{ 9'000 };
+/// There must be room for a unit twice over.
+inline constexpr std::size_t kMinMinionsWithRoom = 2;
+
 struct SoakOptions
 {
   std::string m_nodeProgram; ///< Executable of the nodes.
   std::string m_folder;      ///< Directory for settings and logs.
   std::uint64_t m_seed = 1;
   std::size_t m_nodeCount = 4;
+  std::size_t m_machinesPerPool = 5;
   Millis m_faultDuration{ 12'000 };
   bool m_injectsFaults = true;
+  bool m_hasPlannedWork = false; ///< Overlapping series of planned work all the time.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -43,6 +56,11 @@
   std::vector<std::string> Run();
   std::size_t AcceptedJobCount() const { return m_checker.AcceptedJobCount(); }
   std::size_t JobCount() const { return m_checker.JobCount(); }
+  /// Longest time that a unit of a long-running job was absent while there was room for it during
+  /// planned work.
+  Millis LongestAbsence() const { return m_longestAbsence; }
+  /// Sum of the times for which this process, and with it each stand-in, was held up.
+  Micros HeldUp() const;
 
 private:
   struct Node
@@ -50,7 +68,7 @@
     LocalProcess m_process;
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::string m_callerAddress;
-    std::unique_ptr<KeptConnection> m_keptConnection;
+    std::list<KeptConnection> m_keptConnections;
     TimePoint m_startedAt{};
     bool m_isStopping = false; ///< A signal that ends the process was sent.
     TimerHandle m_restartTimer;
@@ -73,6 +91,19 @@
   void ChangeCapacity(const std::string& aMachine);
   /// Sends signals and changes the configuration and the settings while earlier ones take effect.
   void StartPlannedSeries();
+  /// Begins series of restarts, SIGHUP, configurations and waves that go on until the faults end.
+  void StartPlannedWork();
+  void RestartInSeries();
+  /// Restarts the owner of a pool, then its successor, and so on.
+  void RestartOwners(const std::string& aShard, std::size_t aCount);
+  void ReloadInSeries();
+  void ChangeConfigurations();
+  void StartWaves();
+  /// Waits while half of the nodes are down.
+  void TerminateInTurn(Node& aNode);
+  bool IsUp(const Node& aNode) const;
+  std::vector<Node*> NodesInRandomOrder();
+  Millis DrawPlanned(int aMinMs, int aMaxMs);
   void Terminate(Node& aNode);
   void Reload(const Node& aNode);
   void RunAfter(Millis aDelay, std::function<void()> aFunction);
@@ -81,7 +112,17 @@
   /// Checks that the units of long-running jobs run again, and begins a planned series without
   /// other faults.
   void CheckLongRunningUnits();
-  void OnRequestBroken(const Node& aNode, TimePoint aSentAt);
+  struct Room
+  {
+    std::string m_shard;              ///< Of the unit's job.
+    std::size_t m_minions = 0;        ///< Of the pool, with room for the unit.
+    std::size_t m_minionsInShard = 0; ///< Those of them that belong to the shard.
+  };
+  Room FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const;
+  void ReportMissing(const GuaranteeChecker::MissingUnit& aUnit, const char* aWhen);
+  /// Checks during planned work that absent units of long-running jobs start again.
+  void WatchLongRunningUnits(Micros aHeldUp);
+  void OnRequestBroken(const std::string& aRequest, TimePoint aSentAt);
   std::string DrawJobPath();
   /// Stops the event loop when all accepted jobs have ended or the calm phase has reached its
   /// maximum duration.
@@ -94,17 +135,23 @@
   std::mt19937_64 m_random;
   /// Separate, so that the pace of requests does not change the faults of a seed.
   std::mt19937_64 m_connectionRandom;
+  std::mt19937_64 m_plannedRandom;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   GuaranteeChecker m_checker;
   RowStoreStandin m_store{ m_context, m_timers };
   MachineStandin m_machines{ m_context, m_timers, m_store, m_checker };
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
+  job::ShardMap m_shards;
   std::unique_ptr<CallerSimulator> m_callers;
   std::uint64_t m_configVersion = 0;
   std::uint64_t m_waveCount = 0;
   TimePoint m_calmStart{};
   bool m_mustAnswerAll = false; ///< Only planned work goes on: every request gets a response.
+  bool m_watchesLongRunningUnits = false;
+  std::map<std::string, TimePoint> m_roomSince; ///< By absent unit.
+  std::set<std::pair<std::string, TimePoint>> m_reportedAbsences;
+  Millis m_longestAbsence{ 0 };
   std::map<std::string, TimerHandle> m_capacityTimers; ///< By machine.
   std::list<TimerHandle> m_delayTimers;
   TimerHandle m_watchTimer;
