Job: log why a run is stopped

A unit that was stopped for a wave looked in the logs like one that was stopped for any other cause: run-ended has only outcome=stopped. Each first stop order of a run now logs run-stopping with reason=, so that a wait can be traced to the decision before it.

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -59,12 +59,27 @@
   std::string m_ticket;     ///< From the placement advisor; empty when the queue needs none.
 };
 
+/// Why a run is stopped.
+enum class StopReason
+{
+  JobEnded,        ///< Its job was cancelled or has ended.
+  UnitDone,        ///< Another copy of the unit is done.
+  StartUnanswered, ///< Its start order got no answer, so it may never begin.
+  Unwanted,        ///< The minion lists it, but its unit runs elsewhere or its job has ended.
+  Wave,            ///< Its minion is cordoned for maintenance.
+  Move,            ///< Its minion is cordoned for another reason.
+  MinionDraining,
+  Overdue, ///< Its minion is cordoned, and the unit has not ended by itself in time.
+};
+
 /// Order to stop a run of a work unit.
 struct StopOrder
 {
   std::string m_minion;
   std::string m_unit;
   std::uint32_t m_run = 0;
+  StopReason m_reason = StopReason::JobEnded;
+  bool m_isRepeated = false; ///< An earlier order for the run got no answer.
 };
 
 /// Order to limit a run to a percentage of its full speed.
@@ -124,6 +139,21 @@
 
 namespace mustardtray {
 
+template<>
+struct EnumNames<job::StopReason>
+{
+  static constexpr std::array kTable{
+    std::pair{ job::StopReason::JobEnded, std::string_view("job-ended") },
+    std::pair{ job::StopReason::UnitDone, std::string_view("unit-done") },
+    std::pair{ job::StopReason::StartUnanswered, std::string_view("start-unanswered") },
+    std::pair{ job::StopReason::Unwanted, std::string_view("unwanted") },
+    std::pair{ job::StopReason::Wave, std::string_view("wave") },
+    std::pair{ job::StopReason::Move, std::string_view("move") },
+    std::pair{ job::StopReason::MinionDraining, std::string_view("minion-draining") },
+    std::pair{ job::StopReason::Overdue, std::string_view("overdue") },
+  };
+};
+
 template<>
 struct EnumNames<job::OrderResult>
 {
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -269,7 +269,7 @@
   /// Forgets the crashes under a long-running unit that has been running for long enough.
   void ForgetCrashesIfStable(Job& aJob, const UnitId& aId, const Run& aRun, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
-  void StopRun(MinionState& aMinion, Run& aRun, TimePoint aNow);
+  void StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow);
   void StopRunsOf(const Job& aJob, TimePoint aNow);
   void MarkUnsaved(Job& aJob);
   Unit* FindUnit(const UnitId& aId, Job** aJob);
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -43,7 +43,7 @@
     case OrderResult::NoAnswer:
       ++minion.m_missedCalls;
       if (run.m_phase == RunPhase::Starting) {
-        StopRun(minion, run, aNow);
+        StopRun(minion, run, StopReason::StartUnanswered, aNow);
       }
       return;
     case OrderResult::NoCapacity:
@@ -196,7 +196,7 @@
     // Stops the remaining copies of the unit.
     for (const std::string& minionId : step.m_units[aId.m_index].m_minions) {
       MinionState& minion = m_minions.at(minionId);
-      StopRun(minion, minion.m_runs.at(aId.Text()), aNow);
+      StopRun(minion, minion.m_runs.at(aId.Text()), StopReason::UnitDone, aNow);
     }
   }
   MarkStarted(aJob);
@@ -280,7 +280,7 @@
       if (isWanted) {
         MarkStarted(*job);
       } else {
-        StopRun(aMinion, adopted, aNow);
+        StopRun(aMinion, adopted, StopReason::Unwanted, aNow);
       }
     }
     Run& run = aMinion.m_runs.at(row.m_unit);
@@ -354,14 +354,17 @@
   }
 }
 
-void PoolScheduler::StopRun(MinionState& aMinion, Run& aRun, TimePoint aNow)
+void PoolScheduler::StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow)
 {
-  if (aRun.m_phase == RunPhase::Stopping && aRun.m_isStopConfirmed) {
+  const bool isRepeated = aRun.m_phase == RunPhase::Stopping;
+  if (isRepeated && aRun.m_isStopConfirmed) {
     return;
   }
+  aRun.m_stopReason = isRepeated ? aRun.m_stopReason : aReason;
   aRun.m_phase = RunPhase::Stopping;
   aRun.m_lastStopAt = aNow;
-  m_orders.m_stops.push_back({ aMinion.m_entry.m_id, aRun.m_unit.Text(), aRun.m_run });
+  m_orders.m_stops.push_back(
+    { aMinion.m_entry.m_id, aRun.m_unit.Text(), aRun.m_run, aRun.m_stopReason, isRepeated });
 }
 
 void PoolScheduler::StopRunsOf(const Job& aJob, TimePoint aNow)
@@ -371,7 +374,7 @@
     for (auto entry = minion.m_runs.lower_bound(prefix);
          entry != minion.m_runs.end() && entry->first.starts_with(prefix);
          ++entry) {
-      StopRun(minion, entry->second, aNow);
+      StopRun(minion, entry->second, StopReason::JobEnded, aNow);
     }
   }
 }
@@ -382,7 +385,7 @@
     for (auto& [name, run] : minion.m_runs) {
       if (run.m_phase == RunPhase::Stopping && !run.m_isStopConfirmed &&
           aNow - run.m_lastStopAt > kStopResendDelay) {
-        StopRun(minion, run, aNow);
+        StopRun(minion, run, run.m_stopReason, aNow);
       }
     }
   }
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -259,6 +259,19 @@
   if (found == m_scheduler.Minions().end()) {
     return;
   }
+  if (!aOrder.m_isRepeated) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "run-stopping",
+        "unit",
+        aOrder.m_unit,
+        "run",
+        aOrder.m_run,
+        "minion",
+        aOrder.m_minion,
+        "reason",
+        ToName(aOrder.m_reason));
+  }
   m_context.m_minionClient.Stop(
     { found->second.m_entry.m_address, aOrder.m_minion, m_claim.m_version },
     aOrder,
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -270,8 +270,15 @@
     fixture.Report(start.m_minion, { { start.m_unit, start.m_run, "", 100, 0 } }, {});
   }
   fixture.m_pool.SetRestrictions({ { "machine-a", "machine-b" }, {} }, fixture.m_now);
-  CHECK(fixture.Decide().m_stops.size() == 1);
+  const PoolOrders orders = fixture.Decide();
+  REQUIRE(orders.m_stops.size() == 1);
+  CHECK(orders.m_stops[0].m_reason == StopReason::Move);
   CHECK_FALSE(fixture.m_pool.IsDrained("machine-a", fixture.m_now));
+  fixture.Advance(Millis(500));
+  const PoolOrders repeated = fixture.Decide();
+  REQUIRE(repeated.m_stops.size() == 1);
+  CHECK(repeated.m_stops[0].m_isRepeated);
+  CHECK(repeated.m_stops[0].m_reason == StopReason::Move);
 }
 
 // Regression test, found in crpud-payplan fresh-a664: a new owner reported a machine as drained
