Job: a drain stops a long-running unit only when it can run on

Callers saw long-running units that did not run for 4 to 17 s during waves. Cause: a drain stopped a unit as soon as its step's limit allowed, each step's unit on any cordoned minion. With a whole pool cordoned, the stopped units had no place, and the limits kept the other units on their minions, so that no minion was emptied and none was taken.

A unit on a cordoned minion is now stopped only - when another minion can take it; the place is kept for it while it stops, or - to empty its minion at once: all its units are within the limits of their steps together, and no unit of these steps waits already. When neither is possible, the cordoned minion with the fewest such units gives them to other cordoned minions that keep units. A waiting unit without another place runs on such a minion, too: two units that failed by themselves on two minions would otherwise block both. A minion that has been reported as drained gets no unit. Units of inherited jobs are not stopped during a recovery, since they could not start again.

--- a/include/mustardtray/job/Placement.h
+++ b/include/mustardtray/job/Placement.h
@@ -23,6 +23,10 @@
   bool m_isSuspect = false;        ///< It may crash its minion; kept apart from others if possible.
   bool m_ignoresHold = false;      ///< It may use a minion that is held for another unit.
   bool m_ignoresIsolation = false; ///< It may share a minion with an isolated run.
+  /// It may use a cordoned minion that keeps long-running units; see KeepsUnits().
+  bool m_mayUseCordoned = false;
+  /// Used only when no other minion fits.
+  const MinionState* m_avoidedMinion = nullptr;
 };
 
 /// Why a minion cannot get a unit at present: the first check that failed.
@@ -52,6 +56,9 @@
 
 /// Returns what keeps the minion from getting any new work.
 PlacementObstacle FindObstacle(const MinionState& aMinion, TimePoint aNow);
+/// Whether a cordoned minion has long-running units, none of which is being stopped. It is not
+/// taken before they have left, so another unit that has no other place can run there meanwhile.
+bool KeepsUnits(const MinionState& aMinion);
 /// Returns what keeps the minion from getting a unit.
 PlacementObstacle FindObstacle(const MinionState& aMinion,
                                const PlacementRequest& aRequest,
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -47,7 +47,7 @@
   std::vector<ThrottleOrder> m_throttles;
   std::vector<AdviceRequest> m_adviceRequests;
   std::vector<CrashNotice> m_crashes;
-  std::vector<std::string> m_unsavedJobs; ///< Jobs whose progress has to be written to the store.
+  std::vector<std::string> m_unsavedJobs;   ///< Jobs whose progress has to be written to the store.
 };
 
 /// Load of a pool, for the planner of machine moves. CPU is in thousandths of a core.
@@ -278,7 +278,8 @@
   /// answer a call that was sent later.
   bool IsLost(const MinionState& aMinion, TimePoint aNow) const;
   void PlaceQueued(TimePoint aNow);
-  bool PlaceUnits(QueuedStep& aQueued, TimePoint aNow);
+  /// aMayUseCordoned: see PlacementRequest::m_mayUseCordoned.
+  bool PlaceUnits(QueuedStep& aQueued, bool aMayUseCordoned, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
   /// Returns the placement constraints for the units of a step.
   PlacementRequest RequestFor(const QueuedStep& aQueued) const;
@@ -313,8 +314,36 @@
   /// can use at the same time.
   double UsableCores(const Job& aJob) const;
   void MarkStarted(Job& aJob);
-  void DrainCordoned(TimePoint aNow);
-  bool CanEvict(const Run& aRun, TimePoint aNow) const;
+  /// Capacity that is kept for a long-running unit that is being stopped.
+  struct PlaceClaim
+  {
+    MinionState* m_minion;
+    std::string m_unitPrefix;
+    Resources m_reserved;
+  };
+  /// Stops runs on minions that are about to leave. A long-running unit is stopped only when it has
+  /// another place, or to empty its minion at once. Returns the places of the stopped units.
+  std::vector<PlaceClaim> DrainLeaving(TimePoint aNow);
+  void StopForDrain(MinionState& aMinion, Run& aRun, TimePoint aNow);
+  /// Stops units without another place, so that a cordoned minion is emptied after all.
+  void DrainWithoutPlace(std::vector<PlaceClaim>& aClaims, TimePoint aNow);
+  /// Finds a place for the unit on another minion and reserves it; returns false if there is none.
+  bool ClaimPlace(const MinionState& aFrom,
+                  const Run& aRun,
+                  bool aMayUseCordoned,
+                  std::vector<PlaceClaim>& aClaims,
+                  TimePoint aNow);
+  /// Whether the unit could be started again at once if there was capacity.
+  bool CanRestart(const Run& aRun, TimePoint aNow) const;
+  /// Whether all runs of a cordoned minion may be stopped together.
+  bool CanEmpty(const MinionState& aMinion, TimePoint aNow) const;
+  /// Returns the cordoned minion with the fewest long-running units, or nullptr.
+  MinionState* FirstToDrain();
+  /// Whether the unit may be stopped within its step's limit. aTogetherWith: a minion whose units
+  /// are stopped at the same time.
+  bool CanEvict(const Run& aRun, const MinionState* aTogetherWith, TimePoint aNow) const;
+  /// Starts long-running units that have no other place on cordoned minions that keep units.
+  void PlaceOnCordoned(std::vector<QueuedStep>& aQueued, bool aIsRecovering, TimePoint aNow);
   void ResendStops(TimePoint aNow);
 
   PoolPolicy m_policy;
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -19,6 +19,7 @@
 constexpr double kOtherWorkPenalty = 2.0;      ///< The unit may crash the minion.
 /// For each other such unit on the minion: the next crash has to leave fewer suspects.
 constexpr double kOtherSuspectPenalty = 3.0;
+constexpr double kAvoidedMinionPenalty = 100.0; ///< The minion is being drained first.
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
 
@@ -73,14 +74,22 @@
   return aMinion.m_consecutiveFailures >= kSuspiciousFailures;
 }
 
-PlacementObstacle FindObstacle(const MinionState& aMinion, TimePoint aNow)
+bool KeepsUnits(const MinionState& aMinion)
 {
-  if (!aMinion.m_isRegistered) {
-    return PlacementObstacle::Unregistered;
-  }
-  if (aMinion.m_isCordoned) {
-    return PlacementObstacle::Cordoned;
+  bool hasLongRunning = false;
+  for (const auto& [name, run] : aMinion.m_runs) {
+    if (run.m_isLongRunning && run.m_phase == RunPhase::Stopping) {
+      return false;
+    }
+    hasLongRunning = hasLongRunning || run.m_isLongRunning;
   }
+  return hasLongRunning && !aMinion.m_isReleased;
+}
+
+namespace {
+
+PlacementObstacle FindObstacleBesideCordon(const MinionState& aMinion, TimePoint aNow)
+{
   if (aMinion.m_entry.m_isDraining) {
     return PlacementObstacle::Draining;
   }
@@ -110,13 +119,27 @@
   return PlacementObstacle::None;
 }
 
+} // namespace
+
+PlacementObstacle FindObstacle(const MinionState& aMinion, TimePoint aNow)
+{
+  if (!aMinion.m_isRegistered) {
+    return PlacementObstacle::Unregistered;
+  }
+  return aMinion.m_isCordoned ? PlacementObstacle::Cordoned
+                              : FindObstacleBesideCordon(aMinion, aNow);
+}
+
 PlacementObstacle FindObstacle(const MinionState& aMinion,
                                const PlacementRequest& aRequest,
                                TimePoint aNow)
 {
-  if (const PlacementObstacle obstacle = FindObstacle(aMinion, aNow);
-      obstacle != PlacementObstacle::None) {
-    return obstacle;
+  const bool isUsableThoughCordoned = aMinion.m_isRegistered && aMinion.m_isCordoned &&
+                                      aRequest.m_mayUseCordoned && KeepsUnits(aMinion);
+  const PlacementObstacle common =
+    isUsableThoughCordoned ? FindObstacleBesideCordon(aMinion, aNow) : FindObstacle(aMinion, aNow);
+  if (common != PlacementObstacle::None) {
+    return common;
   }
   if (aRequest.m_isIsolated && !aMinion.m_runs.empty()) {
     return PlacementObstacle::NotEmpty;
@@ -194,6 +217,7 @@
     if (aRequest.m_lastFailedMinion && *aRequest.m_lastFailedMinion == id) {
       score += kRecentFailurePenalty;
     }
+    score += aRequest.m_avoidedMinion == &minion ? kAvoidedMinionPenalty : 0.0;
     if (!best || score < bestScore) {
       best = &minion;
       bestScore = score;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -72,7 +72,6 @@
   ExpireLeases(aNow);
   CountCrashes(aNow);
   ResendStops(aNow);
-  DrainCordoned(aNow);
   PlaceQueued(aNow);
   ThrottleBestEffortRuns(aNow);
 }
@@ -90,7 +89,13 @@
   HoldMinionsForIsolation(aNow);
   std::vector<QueuedStep> remaining;
   std::vector<Resources> unplaceable;
+  std::optional<std::vector<PlaceClaim>> claims;
   for (QueuedStep& queued : m_queued) {
+    if (!claims && !queued.Spec().m_isLongRunning) {
+      // Other units must not take the places of those that are being stopped.
+      claims = DrainLeaving(aNow);
+      PlaceOnCordoned(remaining, isRecovering, aNow);
+    }
     // A step that needs at least as much as one that did not fit cannot be placed either.
     const StepSpec& spec = queued.Spec();
     const Resources need = spec.Reserved();
@@ -106,7 +111,7 @@
     // Units of inherited jobs may still run on a minion that has not answered yet.
     const bool isBlocked = isRecovering && queued.m_job->m_isInherited;
     const bool isPlaced =
-      !isBlocked && (spec.m_isGang ? PlaceGang(queued, aNow) : PlaceUnits(queued, aNow));
+      !isBlocked && (spec.m_isGang ? PlaceGang(queued, aNow) : PlaceUnits(queued, false, aNow));
     if (isPlaced) {
       queued.State().m_isQueued = false;
     } else {
@@ -123,6 +128,13 @@
       }
     }
   }
+  if (!claims) {
+    claims = DrainLeaving(aNow);
+    PlaceOnCordoned(remaining, isRecovering, aNow);
+  }
+  for (const PlaceClaim& claim : *claims) {
+    claim.m_minion->m_used -= claim.m_reserved;
+  }
   m_queued = std::move(remaining);
 }
 
@@ -172,11 +184,13 @@
   });
 }
 
-bool PoolScheduler::PlaceUnits(QueuedStep& aQueued, TimePoint aNow)
+bool PoolScheduler::PlaceUnits(QueuedStep& aQueued, bool aMayUseCordoned, TimePoint aNow)
 {
   Job& job = *aQueued.m_job;
   StepState& step = aQueued.State();
   PlacementRequest request = RequestFor(aQueued);
+  request.m_mayUseCordoned = aMayUseCordoned;
+  request.m_avoidedMinion = aMayUseCordoned ? FirstToDrain() : nullptr;
   const bool hasIsolatedUnit = CrashesOfIsolatedUnit(aQueued) > 0;
   bool isFull = false; // No minion accepts a unit that may share it.
   bool isComplete = true;
