Job, node: a cordon that is not renewed lapses

A cordon stayed in force while no node held the machine orders, so that nothing could be placed on the cordoned minions until the next holder had planned. The holder now says for how long its cordons hold: 3 s, or four intervals between the syncs of a shard in large fleets. After that the owner takes them back and logs cordon-lapsed.

Tests: a minion gets work again after the lapse and does not count as drained; a renewed cordon stays. The function is new, so the tests did not fail before.

--- a/include/mustardtray/job/Deployment.h
+++ b/include/mustardtray/job/Deployment.h
@@ -62,6 +62,9 @@
   std::string Rack() const { return m_labels.empty() ? std::string{} : m_labels.back(); }
 };
 
+/// Longer than the time-out of a machine order that relies on the cordon, with a margin.
+inline constexpr Millis kMinCordonTime{ 3'000 };
+
 /// Machines of a shard that are to get less work, or none.
 struct MachineRestrictions
 {
@@ -69,6 +72,8 @@
   /// Will be cordoned for maintenance soon. Long-running units are not placed there if other
   /// machines have capacity, since each would have to be moved again.
   std::set<std::string> m_awaitingMaintenance;
+  /// Cordons that are not renewed for this time lapse: no machine order can come any more.
+  Millis m_cordonTime = kMinCordonTime;
 };
 
 /// Request to put each of the listed machines into maintenance once.
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -47,6 +47,7 @@
   std::vector<ThrottleOrder> m_throttles;
   std::vector<AdviceRequest> m_adviceRequests;
   std::vector<CrashNotice> m_crashes;
+  std::vector<std::string> m_lapsedCordons; ///< Machines whose cordons have not been renewed.
   std::vector<std::string> m_unsavedJobs;   ///< Jobs whose progress has to be written to the store.
 };
 
@@ -344,6 +345,7 @@
   bool CanEvict(const Run& aRun, const MinionState* aTogetherWith, TimePoint aNow) const;
   /// Starts long-running units that have no other place on cordoned minions that keep units.
   void PlaceOnCordoned(std::vector<QueuedStep>& aQueued, bool aIsRecovering, TimePoint aNow);
+  void LapseCordons(TimePoint aNow);
   void ResendStops(TimePoint aNow);
 
   PoolPolicy m_policy;
@@ -354,6 +356,7 @@
   std::map<std::string, TimePoint> m_awaited; ///< Lease ends; see AwaitMinion().
   std::vector<QueuedStep> m_queued;
   MachineRestrictions m_restrictions;
+  TimePoint m_restrictedAt{};     ///< When the restrictions were set or renewed.
   std::set<Job*> m_activeJobs;    ///< Jobs that have not ended.
   std::set<Job*> m_scheduledJobs; ///< Jobs with occurrences to begin.
   std::set<std::string> m_unsaved;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -72,6 +72,7 @@
   ExpireLeases(aNow);
   CountCrashes(aNow);
   ResendStops(aNow);
+  LapseCordons(aNow);
   PlaceQueued(aNow);
   ThrottleBestEffortRuns(aNow);
 }
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -117,6 +117,7 @@
 void PoolScheduler::SetRestrictions(const MachineRestrictions& aRestrictions, TimePoint aNow)
 {
   m_restrictions = aRestrictions;
+  m_restrictedAt = aNow;
   for (auto& [id, minion] : m_minions) {
     const bool wasCordoned = minion.m_isCordoned;
     const std::string& machine = minion.m_entry.m_machine;
@@ -128,6 +129,18 @@
   }
 }
 
+void PoolScheduler::LapseCordons(TimePoint aNow)
+{
+  if (m_restrictions.m_cordoned.empty() || aNow - m_restrictedAt <= m_restrictions.m_cordonTime) {
+    return;
+  }
+  m_orders.m_lapsedCordons.assign(m_restrictions.m_cordoned.begin(),
+                                  m_restrictions.m_cordoned.end());
+  MachineRestrictions restrictions = m_restrictions;
+  restrictions.m_cordoned.clear();
+  SetRestrictions(restrictions, aNow);
+}
+
 std::vector<std::string> PoolScheduler::TakeDrainedMinions()
 {
   std::vector<std::string> drained;
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -20,6 +20,9 @@
 /// Limits the calls to the owners of shards, so that this node's work does not grow with the fleet.
 constexpr std::size_t kMaxSyncsPerSecond = 200;
 constexpr Millis kCallTimeout{ 1'500 };
+/// Syncs of a shard without which its cordons lapse.
+constexpr int kSyncsPerCordon = 4;
+static_assert(job::kMinCordonTime > kCallTimeout + kPlanPeriod);
 constexpr Millis kBalanceLogPeriod{ 2'000 };
 /// Shards whose balances are logged at a time.
 constexpr std::size_t kMaxLoggedBalances = 20;
@@ -185,6 +188,7 @@
     }
   }
   const Millis syncInterval{ static_cast<Millis::rep>(shards.size() * 1'000 / kMaxSyncsPerSecond) };
+  m_cordonTime = std::max(job::kMinCordonTime, kSyncsPerCordon * (syncInterval + kPlanPeriod));
   for (const std::string& shard : shards) {
     if (LeaseClockNow() - m_syncedAt[shard] >= syncInterval) {
       SyncPool(shard);
@@ -232,9 +236,11 @@
   }
   const TimePoint askedAt = LeaseClockNow();
   m_syncedAt[aPool] = askedAt;
+  job::MachineRestrictions& restrictions = m_restrictions[aPool];
+  restrictions.m_cordonTime = m_cordonTime;
   m_syncPool(
     aPool,
-    m_restrictions[aPool],
+    restrictions,
     [this, aPool, askedAt, alive = std::weak_ptr<int>(m_alive)](Result<FleetReport> aReport) {
       if (alive.expired()) {
         return;
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -74,6 +74,7 @@
   std::map<std::uint64_t, std::set<std::string>> m_startedMachinesByWave;
   std::vector<job::WaveRequest> m_deferredWaves;
   std::map<std::string, job::MachineRestrictions> m_restrictions;
+  Millis m_cordonTime = job::kMinCordonTime; ///< See job::MachineRestrictions.
   std::set<std::string> m_pendingSyncs;
   std::map<std::string, TimePoint> m_syncedAt; ///< When a pool's owner was last asked.
   /// Logged machines and wanted machines, by shard.
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -139,7 +139,8 @@
   return json{
     { "pool", aRequest.m_pool },
     { "cordons", aRequest.m_restrictions.m_cordoned },
-    { "awaiting", aRequest.m_restrictions.m_awaitingMaintenance }
+    { "awaiting", aRequest.m_restrictions.m_awaitingMaintenance },
+    { "cordon-ms", aRequest.m_restrictions.m_cordonTime.count() }
   }.dump();
 }
 
@@ -148,7 +149,8 @@
   return Parse<FleetSyncRequest>(aText, [](const json& aIn) {
     return FleetSyncRequest{ aIn.at("pool").get<std::string>(),
                              { aIn.at("cordons").get<std::set<std::string>>(),
-                               aIn.value("awaiting", std::set<std::string>{}) } };
+                               aIn.value("awaiting", std::set<std::string>{}),
+                               Millis(aIn.value("cordon-ms", job::kMinCordonTime.count())) } };
   });
 }
 
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -123,6 +123,9 @@
   for (const job::CrashNotice& notice : aOrders.m_crashes) {
     LogCrash(notice);
   }
+  for (const std::string& machine : aOrders.m_lapsedCordons) {
+    Log(LogCategory::Fleet, LogLevel::Info, "cordon-lapsed", "pool", Pool(), "machine", machine);
+  }
   SaveJobs(aOrders.m_unsavedJobs);
 }
 
--- a/tests/job/WaveDrainTest.cpp
+++ b/tests/job/WaveDrainTest.cpp
@@ -284,3 +284,35 @@
   fleet.Run(Millis(5'000), false);
   CHECK(fleet.AtWork("aaaaaaaaaaaaaaaa") == 4);
 }
+
+TEST_CASE("cordons lapse while the holder of the machine orders is away")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  fixture.m_pool.SetRestrictions({ { "machine-a" }, {} }, fixture.m_now);
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  CHECK(fixture.Decide().m_starts.empty());
+  fixture.Advance(kMinCordonTime);
+  fixture.Report("a", {}, {});
+  CHECK(fixture.Decide().m_starts.empty());
+  fixture.Advance(Millis(100));
+  fixture.Report("a", {}, {});
+  fixture.m_pool.Minions().at("a").m_isRecorded = true;
+  const PoolOrders orders = fixture.Decide();
+  CHECK(orders.m_starts.size() == 1);
+  CHECK(orders.m_lapsedCordons == std::vector<std::string>{ "machine-a" });
+  CHECK_FALSE(fixture.m_pool.IsDrained("machine-a", fixture.m_now));
+}
+
+TEST_CASE("a renewed cordon does not lapse")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  for (int i = 0; i < 20; ++i) {
+    fixture.m_pool.SetRestrictions({ { "machine-a" }, {} }, fixture.m_now);
+    fixture.Advance(kMinCordonTime / 2);
+    fixture.Report("a", {}, {});
+    CHECK(fixture.Decide().m_starts.empty());
+  }
+}
