--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -123,6 +123,9 @@
   for (const job::CrashNotice& notice : aOrders.m_crashes) {
     LogCrash(notice);
   }
+  for (const std::string& machine : aOrders.m_lapsedCordons) {
+    Log(LogCategory::Fleet, LogLevel::Info, "cordon-lapsed", "pool", Pool(), "machine", machine);
+  }
   SaveJobs(aOrders.m_unsavedJobs);
 }
 
@@ -259,6 +262,19 @@
   if (found == m_scheduler.Minions().end()) {
     return;
   }
+  if (!aOrder.m_isRepeated) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "run-stopping",
+        "unit",
+        aOrder.m_unit,
+        "run",
+        aOrder.m_run,
+        "minion",
+        aOrder.m_minion,
+        "reason",
+        ToName(aOrder.m_reason));
+  }
   m_context.m_minionClient.Stop(
     { found->second.m_entry.m_address, aOrder.m_minion, m_claim.m_version },
     aOrder,
