Job: a new owner stops no unit for a drain while a stop of the former owner may be under way

A freshly loaded owner stopped a second unit of a step 0.1 s after its takeover, while another one was ending. Cause, inferred from the log: stops are not stored, and a minion lists a unit as running until its stop takes effect, so the new owner counts it as at work. The test fails without the change.

--- a/src/job/PoolSchedulerDrain.cpp
+++ b/src/job/PoolSchedulerDrain.cpp
@@ -12,6 +12,9 @@
 constexpr Millis kMaxReportAge{ 1'600 };
 /// Time that units on a cordoned minion have to end by themselves before they are stopped.
 constexpr Millis kCordonGracePeriod{ 2'500 };
+/// Time after a takeover in which stops that the former owner ordered may be under way. Minions
+/// list such units as running, so how many of a step are away is not known.
+constexpr Millis kInheritedStopTime{ 1'000 };
 
 } // namespace
 
@@ -24,6 +27,9 @@
     return true;
   }
   const Job& job = *found->second;
+  if (job.m_isInherited && aNow - m_beganAt < kInheritedStopTime) {
+    return false;
+  }
   const auto occurrence = job.m_occurrences.find(aRun.m_unit.m_occurrence);
   if (occurrence == job.m_occurrences.end()) {
     return true;
--- a/tests/job/PoolSchedulerTest.cpp
+++ b/tests/job/PoolSchedulerTest.cpp
@@ -281,6 +281,34 @@
   CHECK(repeated.m_stops[0].m_reason == StopReason::Move);
 }
 
+TEST_CASE("a new owner stops no unit for a drain while a stop of the former owner may be under way")
+{
+  PoolFixture fixture;
+  JobRecord record = MakeJob("j", 2);
+  record.m_spec.m_steps[0].m_isLongRunning = true;
+  record.m_spec.m_steps[0].m_maxUnavailableUnits = 1;
+  record.m_spec.m_steps[0].m_maxPerMinion = 1;
+  REQUIRE(fixture.m_pool.LoadJob(record, "", fixture.m_now, fixture.m_wallNow).has_value());
+  const auto report = [&] {
+    fixture.Report("a", { { "j.0.0.0", 1, "", 100, 0 } }, {});
+    fixture.Report("b", { { "j.0.0.1", 1, "", 100, 0 } }, {});
+  };
+  for (const std::string id : { "a", "b" }) {
+    fixture.m_pool.UpdateMinion(MakeMinion(id), fixture.m_now);
+    fixture.m_pool.Minions().at(id).m_isRecorded = true;
+    fixture.m_pool.AwaitMinion(id, fixture.m_now + Millis(4'000));
+  }
+  REQUIRE(fixture.Decide().m_starts.empty());
+  report();
+  fixture.AddMinion("c");
+  fixture.m_pool.SetRestrictions({ { "machine-a" }, {} }, fixture.m_now);
+  CHECK(fixture.Decide().m_stops.empty());
+  // The stop that the former owner had ordered takes effect within this time.
+  fixture.Advance(Millis(1'100));
+  report();
+  CHECK(fixture.Decide().m_stops.size() == 1);
+}
+
 // Regression test, found in crpud-payplan fresh-a664: a new owner reported a machine as drained
 // although its minion had not answered yet.
 TEST_CASE("long-running units are not placed on machines that wait for maintenance")
