Node: a stopping node responds to each request before its process ends

The process ends 5.4 s after SIGTERM whatever is open, and a hand-in may wait for an owner for longer than the 0.6 s after the last one that is read. Change: requests that come when the node has stopped accepting connections are refused at once as not run; those still open when the process is about to end get 504 (the outcome is not known), reads 503, and 0.1 s for the way. The test uses calls that did not exist before; without EndPendingRequests() the request in it stays without a response.

--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -56,8 +56,24 @@
 {
 }
 
+void JobGateway::EndPendingRequests()
+{
+  // A responder ignores a second response.
+  for (const auto& [responder, isReading] : m_lateRequests) {
+    responder.Send(isReading ? Unavailable("the node is stopping") : OutcomeUnknown());
+  }
+  m_lateRequests.clear();
+}
+
 void JobGateway::Handle(HttpRequest aRequest, HttpResponder aResponder)
 {
+  if (m_isRefusing) {
+    aResponder.Send(Unavailable("the node is stopping"));
+    return;
+  }
+  if (m_isStopping) {
+    m_lateRequests.emplace_back(aResponder, aRequest.m_method == "GET");
+  }
   if (m_context.m_deployment.m_version == 0) {
     aResponder.Send(Unavailable("no configuration yet"));
     return;
--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -28,6 +28,16 @@
   /// Handles a caller's request.
   void Handle(HttpRequest aRequest, HttpResponder aResponder);
 
+  // The end of a node; connections stay open until its process is gone.
+
+  /// From now on requests without a response are remembered.
+  void BeginStopping() { m_isStopping = true; }
+  /// Requests that come from now on are refused, since there is no time left to handle them.
+  void RefuseRequests() { m_isRefusing = true; }
+  /// Responds to the requests that are still being handled, so that their callers can try another
+  /// node.
+  void EndPendingRequests();
+
 private:
   struct JobTarget
   {
@@ -76,6 +86,10 @@
   NodeContext& m_context;
   const Membership& m_membership;
   LocalOwner m_localOwner;
+  bool m_isStopping = false;
+  bool m_isRefusing = false;
+  /// Requests that came while the node was stopping, and whether they only read.
+  std::vector<std::pair<HttpResponder, bool>> m_lateRequests;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -38,6 +38,8 @@
 constexpr Millis kPeerCallTimeout{ 600 };
 /// Time before the SIGKILL that follows SIGTERM; pending responses must have been sent by then.
 constexpr Millis kStopMargin{ 1'200 };
+/// For the way of the last responses, before the process ends.
+constexpr Millis kResponseTime{ 100 };
 /// Part of the time to stop that is left for handing over pools.
 constexpr Millis kHandOverTime{ 600 };
 /// Between checks whether there is a node that can take over pools.
@@ -406,6 +408,7 @@
     Log(LogCategory::Process, LogLevel::Info, "stopping");
     m_isStopping = true;
     m_membership->StartLeaving();
+    m_gateway->BeginStopping();
     const Millis serveFor =
       std::max(m_settings.m_bounds.m_terminationGrace - kStopMargin, kStopMargin);
     m_stopTimer = m_timers.After(serveFor, [this] { FinishStopping(); });
@@ -482,7 +485,11 @@
   void FinishStopping()
   {
     m_callerServer->StopAccepting();
-    m_exitTimer = m_timers.After(kStopMargin / 2, [this] { m_io.stop(); });
+    m_gateway->RefuseRequests();
+    m_exitTimer = m_timers.After(kStopMargin / 2, [this] {
+      m_gateway->EndPendingRequests();
+      m_exitTimer = m_timers.After(kResponseTime, [this] { m_io.stop(); });
+    });
   }
 
   platform::NodeSettings m_settings;
--- a/tests/node/JobGatewayTest.cpp
+++ b/tests/node/JobGatewayTest.cpp
@@ -44,6 +44,18 @@
     return settings;
   }
 
+  std::shared_ptr<RecordingSink> Submit()
+  {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_path = "/q/0123456789abcdef";
+    request.m_headers = { { "Host", "jobs" }, { "Deadline-Ms", "3000" } };
+    request.m_body = R"({"spec":"s","steps":[{"count":1,"cpu":1}]})";
+    auto sink = std::make_shared<RecordingSink>();
+    m_gateway.Handle(std::move(request), HttpResponder(sink));
+    return sink;
+  }
+
   /// Submits a job while the store closes all connections for aOutage. Returns the status and how
   /// long it took.
   std::pair<int, Millis> SubmitDuringOutage(soak::StoreFault aFault, Millis aOutage)
@@ -51,14 +63,8 @@
     m_store.SetFault(aFault);
     const TimerHandle end =
       m_timers.After(aOutage, [this] { m_store.SetFault(soak::StoreFault::None); });
-    HttpRequest request;
-    request.m_method = "POST";
-    request.m_path = "/q/0123456789abcdef";
-    request.m_headers = { { "Host", "jobs" }, { "Deadline-Ms", "3000" } };
-    request.m_body = R"({"spec":"s","steps":[{"count":1,"cpu":1}]})";
-    const auto sink = std::make_shared<RecordingSink>();
     const TimePoint sentAt = MonotonicNow();
-    m_gateway.Handle(std::move(request), HttpResponder(sink));
+    const auto sink = Submit();
     while (sink->m_responses.empty() && MonotonicNow() - sentAt < Millis(5'000)) {
       m_io.run_for(Millis(10));
     }
@@ -100,3 +106,20 @@
   CHECK(status == 503);
   CHECK(time < Millis(500));
 }
+
+TEST_CASE("a request that a stopping node cannot finish gets a response before the process ends")
+{
+  GatewayFixture fixture;
+  fixture.m_store.SetFault(soak::StoreFault::Unresponsive);
+  fixture.m_gateway.BeginStopping();
+  const auto pending = fixture.Submit();
+  fixture.m_io.run_for(Millis(100));
+  REQUIRE(pending->m_responses.empty());
+  fixture.m_gateway.RefuseRequests();
+  const auto late = fixture.Submit();
+  REQUIRE(late->m_responses.size() == 1);
+  CHECK(late->m_responses[0].m_status == 503);
+  fixture.m_gateway.EndPendingRequests();
+  REQUIRE(pending->m_responses.size() == 1);
+  CHECK(pending->m_responses[0].m_status == 504);
+}
