--- a/tests/job/AnnouncedOrdersTest.cpp
+++ b/tests/job/AnnouncedOrdersTest.cpp
@@ -54,3 +54,19 @@
   orders.Inherit({ "old" }, kStart);
   CHECK(orders.Announce("new", kStart + Millis(500)) == std::set<std::string>{ "new", "old" });
 }
+
+TEST_CASE("a series of holders does not prolong the time for which a machine is held back")
+{
+  AnnouncedOrders first(kHandoverDelay, kMaxOrderTime);
+  first.OnSaved(first.Announce("machine", kStart));
+  std::set<std::string> stored{ "machine" };
+  TimePoint now = kStart;
+  for (int i = 0; i < 4; ++i) {
+    now += Millis(1'500);
+    AnnouncedOrders next(kHandoverDelay, kMaxOrderTime);
+    next.Inherit(stored, now);
+    CHECK(next.IsHeldBack("machine", now + Millis(100)) ==
+          (now + Millis(100) < kStart + kHandoverDelay + kMaxOrderTime));
+    stored = next.Announce("other", now + Millis(200));
+  }
+}
--- a/tests/job/OwnershipTest.cpp
+++ b/tests/job/OwnershipTest.cpp
@@ -175,3 +175,30 @@
   node.m_isEvicted = true;
   CHECK(DecodeNodeRow("a", EncodeNodeRow(node)).value().m_isEvicted);
 }
+
+TEST_CASE("a node that has just started does not keep others from claiming a silent node's pool")
+{
+  // "a" has crashed; "b" has run for long and owns another pool; "c" has just been restarted as
+  // planned, owns nothing, and does not know the row of "a", which has not changed since.
+  const TimePoint now = kStart + kNodeTimeout + Millis(100);
+  std::size_t claims = 0;
+  bool isKnownToAll = false;
+  SUBCASE("it knows the row of the silent node")
+  {
+    isKnownToAll = true;
+  }
+  SUBCASE("it does not know the row yet") {}
+  for (const std::string self : { "b", "c" }) {
+    OwnershipView view = MakeView(self);
+    view.m_nodes["b"].m_changedAt = now;
+    view.m_nodes["c"].m_changedAt = now;
+    view.m_owners["p"] = OwnedBy("a");
+    view.m_owners["q"] = OwnedBy("b");
+    view.m_owners["q"].m_pool = "q";
+    if (self == "c" && !isKnownToAll) {
+      view.m_nodes.erase("a");
+    }
+    claims += DecideOwnership(view, now).m_claims.size();
+  }
+  CHECK(claims == 1);
+}
