Node: the handover of a stopping node's pools has its own class

Moved without a change of behaviour, except that callbacks of drains and releases that outlive the handover do nothing.

--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -15,6 +15,7 @@
 #include "node/MinionDirectory.h"
 #include "node/PeerHandler.h"
 #include "node/PeerMessages.h"
+#include "node/PoolHandover.h"
 #include "node/PoolOwner.h"
 #include "node/ShardDirectory.h"
 #include "node/TableFollower.h"
@@ -42,8 +43,6 @@
 constexpr Millis kResponseTime{ 100 };
 /// Part of the time to stop that is left for handing over pools.
 constexpr Millis kHandOverTime{ 600 };
-/// Between checks whether there is a node that can take over pools.
-constexpr Millis kHandOverRetryDelay{ 50 };
 
 std::string MakeIncarnation()
 {
@@ -412,74 +411,33 @@
     const Millis serveFor =
       std::max(m_settings.m_bounds.m_terminationGrace - kStopMargin, kStopMargin);
     m_stopTimer = m_timers.After(serveFor, [this] { FinishStopping(); });
-    m_handOverDeadline = LeaseClockNow() + serveFor - kHandOverTime;
+    m_handover = std::make_unique<PoolHandover>(
+      m_context,
+      *m_membership,
+      OwnedParts{ [this](const std::string& aPool) { return FindOwner(aPool); },
+                  [this] { return m_orderController.get(); } },
+      LeaseClockNow() + serveFor - kHandOverTime,
+      [this](const std::string& aPool) { OnPoolReleased(aPool); });
     for (const auto& [pool, owner] : m_owners) {
-      HandOverPool(pool);
+      m_handover->HandOverPool(pool);
     }
-    HandOverMachineOrders();
+    m_handover->HandOverMachineOrders();
   }
 
-  /// Hands a pool over as soon as there is a node that can take it. The owner goes on until then;
-  /// when it has to wait again after it was drained, it still extends the leases of what runs.
-  void HandOverPool(const std::string& aPool)
+  void OnPoolReleased(const std::string& aPool)
   {
-    const auto retry = [this, aPool] {
-      m_handOverTimers[aPool] =
-        m_timers.After(kHandOverRetryDelay, [this, aPool] { HandOverPool(aPool); });
-    };
-    PoolOwner* owner = FindOwner(aPool);
-    if (!owner) {
-      return;
-    }
-    if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
-      retry();
-      return;
-    }
-    owner->Drain([this, aPool, retry] {
-      PoolOwner* drained = FindOwner(aPool);
-      if (!drained) {
-        return;
+    m_removalTimers.push_back(m_timers.After(Micros{ 0 }, [this, aPool] {
+      m_owners.erase(aPool);
+      if (aPool == kFleetPartition) {
+        m_orderController.reset();
       }
-      if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
-        retry();
-        return;
+      const std::string address = m_membership->OwnerAddress(aPool);
+      if (!address.empty()) {
+        // The request is only a hint: the successor also sees the owner row.
+        m_http.Start(MakePeerCall(address, kPeerReleasedPath, {}, kPeerCallTimeout),
+                     [](const HttpCallResult&) {});
       }
-      drained->EndLeases();
-      HandOver(drained->Claim());
-    });
-  }
-
-  void HandOverMachineOrders()
-  {
-    if (!m_orderController) {
-      return;
-    }
-    if (!m_membership->ShouldHandOver(m_handOverDeadline)) {
-      m_handOverTimers[kFleetPartition] =
-        m_timers.After(kHandOverRetryDelay, [this] { HandOverMachineOrders(); });
-      return;
-    }
-    m_orderController->Drain([this] { HandOver(m_orderController->Claim()); });
-  }
-
-  void HandOver(const job::OwnerRow& aClaim)
-  {
-    const std::string pool = aClaim.m_pool;
-    m_membership->ReleasePool(aClaim, [this, pool](const std::string& aSuccessor) {
-      Log(LogCategory::Membership, LogLevel::Info, "pool-released", "pool", pool, "to", aSuccessor);
-      m_removalTimers.push_back(m_timers.After(Micros{ 0 }, [this, pool] {
-        m_owners.erase(pool);
-        if (pool == kFleetPartition) {
-          m_orderController.reset();
-        }
-        const std::string address = m_membership->OwnerAddress(pool);
-        if (!address.empty()) {
-          // The request is only a hint: the successor also sees the owner row.
-          m_http.Start(MakePeerCall(address, kPeerReleasedPath, {}, kPeerCallTimeout),
-                       [](const HttpCallResult&) {});
-        }
-      }));
-    });
+    }));
   }
 
   void FinishStopping()
@@ -514,8 +472,7 @@
   std::map<std::uint64_t, job::WaveRequest> m_knownWaves;
   std::vector<TimerHandle> m_removalTimers;
   TimerHandle m_summaryTimer;
-  TimePoint m_handOverDeadline{};
-  std::map<std::string, TimerHandle> m_handOverTimers; ///< By pool.
+  std::unique_ptr<PoolHandover> m_handover;
   TimerHandle m_stopTimer;
   TimerHandle m_exitTimer;
   bool m_isStopping = false;
