Node: log when the control thread runs late, and on which work

WorkMeter counts the time of each part of the control thread's work, without nested parts. NodeMonitor, which also takes over the summary from NodeDaemon, logs thread-late once a second when a timer was late by 50 ms or more. The holder logs pools-synced every 2 s: reports, failed ones, and those that came too late to permit orders. No decision changes. Tests: WorkMeterTest; docs/OPERATIONS.md has both events.

--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -69,6 +69,7 @@
   , m_onMachines(std::move(aOnMachines))
   , m_machineListReader(aContext,
                         [this](std::vector<job::Machine> aMachines, TimePoint aAskedAt) {
+                          const WorkMeter::Scope scope(m_context.m_work, WorkPart::MachineList);
                           m_onMachines(aMachines);
                           m_planner.SetMachines(std::move(aMachines), aAskedAt);
                         })
@@ -175,7 +176,7 @@
     return;
   }
   const job::Deployment& deployment = m_context.m_deployment;
-  const job::FleetPlan plan = m_planner.Plan(deployment, m_context.m_shards, LeaseClockNow());
+  const job::FleetPlan plan = Plan();
   m_restrictions = plan.m_restrictions;
   LogBalances(plan.m_balances);
   std::vector<std::string> shards;
@@ -201,6 +202,12 @@
   }
 }
 
+job::FleetPlan FleetOrderController::Plan()
+{
+  const WorkMeter::Scope scope(m_context.m_work, WorkPart::FleetPlan);
+  return m_planner.Plan(m_context.m_deployment, m_context.m_shards, LeaseClockNow());
+}
+
 void FleetOrderController::LogBalances(const std::vector<job::ShardBalance>& aBalances)
 {
   const TimePoint now = LeaseClockNow();
@@ -208,6 +215,18 @@
     return;
   }
   m_balancesLoggedAt = now;
+  Log(LogCategory::Fleet,
+      LogLevel::Info,
+      "pools-synced",
+      "reports",
+      m_syncCounts.m_all,
+      "failed",
+      m_syncCounts.m_failed,
+      "outdated",
+      m_syncCounts.m_outdated,
+      "longest-ms",
+      std::chrono::duration_cast<Millis>(m_syncCounts.m_longest).count());
+  m_syncCounts = {};
   std::size_t logged = 0;
   for (const job::ShardBalance& balance : aBalances) {
     std::pair<std::size_t, std::size_t>& last = m_loggedBalances[balance.m_shard];
@@ -246,19 +265,24 @@
         return;
       }
       m_pendingSyncs.erase(aPool);
+      const TimePoint now = LeaseClockNow();
+      const bool isCurrent = now - askedAt < kMaxReportAge;
+      ++m_syncCounts.m_all;
+      m_syncCounts.m_failed += aReport ? 0 : 1;
+      m_syncCounts.m_outdated += aReport && !isCurrent ? 1 : 0;
+      m_syncCounts.m_longest = std::max(m_syncCounts.m_longest, now - askedAt);
       if (!aReport) {
         return;
       }
       FleetReport& report = aReport.value();
-      const TimePoint now = LeaseClockNow();
       m_planner.SetReport(aPool,
                           { report.m_load,
                             { report.m_drainedMachines.begin(), report.m_drainedMachines.end() },
                             std::move(report.m_idleMachines),
                             now });
       // A new owner of the pool does not know the cordons, so orders need a fresh report.
-      if (now - askedAt < kMaxReportAge && !m_isDraining) {
-        SendPoolOrders(m_planner.Plan(m_context.m_deployment, m_context.m_shards, now), aPool);
+      if (isCurrent && !m_isDraining) {
+        SendPoolOrders(Plan(), aPool);
       }
     });
 }
@@ -342,8 +366,7 @@
   if (!spare || spare->m_name != aPool) {
     SyncPool(aPool);
   } else if (!m_isDraining) {
-    SendPoolOrders(m_planner.Plan(m_context.m_deployment, m_context.m_shards, LeaseClockNow()),
-                   aPool);
+    SendPoolOrders(Plan(), aPool);
   }
 }
 
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -51,6 +51,7 @@
   void FinishLoading();
   void ListMachines();
   void Tick();
+  job::FleetPlan Plan();
   /// Logs the shards whose number of machines or of wanted machines has changed.
   void LogBalances(const std::vector<job::ShardBalance>& aBalances);
   /// Sends the cordons to the pool's owner, then sends the orders that its report permits.
@@ -63,6 +64,15 @@
   void OnOrderResult(const job::MachineOrder& aOrder, platform::MachineOrderResult aOrderResult);
   void WriteWaveStatus(std::uint64_t aWave, bool aIsCompleted);
 
+  /// Calls to the owners of pools since the latest log line.
+  struct SyncCounts
+  {
+    std::size_t m_all = 0;
+    std::size_t m_failed = 0;
+    std::size_t m_outdated = 0; ///< Reports that came too late to permit orders.
+    Micros m_longest{ 0 };
+  };
+
   NodeContext& m_context;
   job::OwnerRow m_claim;
   SyncPoolFunction m_syncPool;
@@ -80,6 +90,7 @@
   /// Logged machines and wanted machines, by shard.
   std::map<std::string, std::pair<std::size_t, std::size_t>> m_loggedBalances;
   TimePoint m_balancesLoggedAt{};
+  SyncCounts m_syncCounts;
   std::set<std::string> m_pendingOrders;
   std::set<std::uint64_t> m_pendingStatusWrites;
   job::AnnouncedOrders m_announcedOrders;
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -148,6 +148,7 @@
 
 void MinionSession::OnHoldReport(Result<job::LeaseReport> aReport, TimePoint aAskedAt)
 {
+  const WorkMeter::Scope scope(m_owner.m_context.m_work, WorkPart::MinionReport);
   m_isCallPending = false;
   const TimePoint now = LeaseClockNow();
   if (!aReport) {
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -12,6 +12,7 @@
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Shards.h"
 #include "mustardtray/process/TimerService.h"
+#include "mustardtray/process/WorkMeter.h"
 #include "platform/MachineClient.h"
 #include "platform/MinionClient.h"
 #include "platform/NodeSettings.h"
@@ -59,6 +60,7 @@
   NodeLease m_lease;
   job::Deployment m_deployment; ///< Version 0 until a configuration is known.
   job::ShardMap m_shards;
+  WorkMeter m_work;
 };
 
 // Tables in the store that only nodes use. The partition of a row is the pool shard it belongs to.
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -13,6 +13,7 @@
 #include "node/JobGateway.h"
 #include "node/Membership.h"
 #include "node/MinionDirectory.h"
+#include "node/NodeMonitor.h"
 #include "node/PeerHandler.h"
 #include "node/PeerMessages.h"
 #include "node/PoolHandover.h"
@@ -31,7 +32,6 @@
 /// A node reports that it is not ready when the store has not answered it for this long; other
 /// nodes may still reach the store.
 constexpr Millis kMaxStoreSilence{ 2'500 };
-constexpr Millis kSummaryPeriod{ 5'000 };
 /// Minions write their rows continuously, so polls are spaced. A minion that starts to drain must
 /// get no work after about two seconds.
 constexpr Millis kMinionPollInterval{ 350 };
@@ -70,6 +70,7 @@
                  MakeIncarnation(),
                  {},
                  {},
+                 {},
                  {} }
     , m_minionDirectory(
         m_context,
@@ -80,6 +81,7 @@
           }
         })
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    , m_monitor(m_context, [this] { return m_owners.size(); })
   {
   }
 
@@ -111,7 +113,6 @@
       TableFollowerOptions{ platform::kOperatorTable, true, Millis{ 900 }, Millis{ 0 } },
       [this](const std::vector<platform::Row>& aRows, bool) { OnOperatorRows(aRows); });
     WaitForSignal();
-    m_summaryTimer = m_timers.Every(kSummaryPeriod, 0, [this] { LogSummary(); });
     Log(LogCategory::Process,
         LogLevel::Info,
         "started",
@@ -274,6 +275,7 @@
       m_context,
       TableFollowerOptions{ platform::kMinionTable, true, Millis{ 1'000 }, kMinionPollInterval },
       [this](const std::vector<platform::Row>& aRows, bool aIsComplete) {
+        const WorkMeter::Scope scope(m_context.m_work, WorkPart::MinionTable);
         m_minionDirectory.OnRows(aRows, aIsComplete);
       });
     m_inboxFollower = std::make_unique<TableFollower>(
@@ -365,26 +367,6 @@
     });
   }
 
-  void LogSummary() const
-  {
-    const platform::StoreCallCounts& counts = m_store.Counts();
-    Log(LogCategory::Process,
-        LogLevel::Info,
-        "summary",
-        "store-writes",
-        counts.m_writes,
-        "store-reads",
-        counts.m_reads,
-        "store-follows",
-        counts.m_follows,
-        "store-failures",
-        counts.m_failures,
-        "pools",
-        m_owners.size(),
-        "lease-left-ms",
-        m_context.m_lease.Remaining().count());
-  }
-
   // Stopping.
 
   void WaitForSignal()
@@ -460,6 +442,7 @@
   NodeContext m_context;
   MinionDirectory m_minionDirectory;
   asio::signal_set m_signals;
+  NodeMonitor m_monitor;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<JobGateway> m_gateway;
   std::unique_ptr<PeerHandler> m_peerHandler;
@@ -471,7 +454,6 @@
   std::unique_ptr<FleetOrderController> m_orderController;
   std::map<std::uint64_t, job::WaveRequest> m_knownWaves;
   std::vector<TimerHandle> m_removalTimers;
-  TimerHandle m_summaryTimer;
   std::unique_ptr<PoolHandover> m_handover;
   TimerHandle m_stopTimer;
   TimerHandle m_exitTimer;
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -53,6 +53,7 @@
   if (!m_firstRefusalTimes.contains(id)) {
     m_scheduler.OnFirstAttempt(aRecord, now);
   }
+  const WorkMeter::Scope scope(m_context.m_work, WorkPart::Submission);
   const job::AdmissionDecision verdict = m_scheduler.EvaluateAdmission(aRecord, waited, now);
   Log(LogCategory::Placement,
       LogLevel::Info,
@@ -344,6 +345,7 @@
 
 FleetReport PoolOwner::ApplyRestrictions(const job::MachineRestrictions& aRestrictions)
 {
+  const WorkMeter::Scope scope(m_context.m_work, WorkPart::PoolReport);
   m_scheduler.SetRestrictions(aRestrictions, LeaseClockNow());
   DecideNow();
   FleetReport report;
@@ -390,6 +392,7 @@
   if (!m_isLoaded || m_isClosed) {
     return;
   }
+  const WorkMeter::Scope scope(m_context.m_work, WorkPart::PoolDecision);
   const TimePoint now = LeaseClockNow();
   if (m_isDraining || !m_context.m_lease.IsValid()) {
     // No new work is started, but the known ends of runs must still be saved.
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -111,6 +111,7 @@
 
 void PoolOwner::FinishLoading()
 {
+  const WorkMeter::Scope scope(m_context.m_work, WorkPart::PoolLoad);
   const TimePoint now = LeaseClockNow();
   const WallTime wallNow = WallNow();
   std::size_t count = 0;
--- a/tests/node/NodeFixture.h
+++ b/tests/node/NodeFixture.h
@@ -26,6 +26,7 @@
                  m_settings.m_nodeName,
                  {},
                  {},
+                 {},
                  {} }
   {
     m_context.m_deployment.m_version = 1;
