Job: the planner of machine orders makes less of each plan anew

Each plan found the removable machines of each shard for each shard that lacks some, and looked up utilizations for each comparison of the machines of a wave.

The removable machines of a shard are found once a plan, and those that it takes are erased; utilizations are looked up once a machine. The decisions are the same.

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -109,10 +109,11 @@
                     FleetPlan& aPlan,
                     TimePoint aNow);
   void PlanMoves(const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
-  /// Idle machines of a shard that can be moved out of it.
-  std::vector<std::string> RemovableMachines(const std::string& aPool,
-                                             const FleetPlan& aPlan,
-                                             TimePoint aNow) const;
+  /// Idle machines of a shard that can be moved out of it, without those that the current plan has
+  /// taken.
+  std::vector<std::string>& RemovableMachines(const std::string& aPool,
+                                              const FleetPlan& aPlan,
+                                              TimePoint aNow);
   void BeginMove(const std::string& aMachine,
                  const std::string& aFrom,
                  const std::string& aTo,
@@ -125,6 +126,9 @@
   bool IsOrderAllowed(const std::string& aMachine, TimePoint aNow) const;
   bool IsDrained(const std::string& aShard, const std::string& aMachine) const;
   std::string ShardOf(const Machine& aMachine) const;
+  /// Sorts the machines of a wave: those that are being drained for it first, then those of shards
+  /// with little load.
+  void SortForMaintenance(std::vector<const Machine*>& aMachines) const;
   void PlanWave(WaveState& aWave, const Deployment& aDeployment, FleetPlan& aPlan, TimePoint aNow);
   /// Number of spare machines in maintenance at a time that finishes the wave in time. Spare
   /// machines are the reserve for a sudden load, so no more are taken.
@@ -162,8 +166,9 @@
     TimePoint m_at{};
   };
   std::map<std::string, PendingMove> m_pendingMoves;
-  std::map<std::string, TimePoint> m_surplusSince; ///< By shard.
-  std::map<std::string, TimePoint> m_arrivedAt;    ///< Latest arrival of a moved machine.
+  std::map<std::string, TimePoint> m_surplusSince;             ///< By shard.
+  std::map<std::string, std::vector<std::string>> m_removable; ///< See RemovableMachines().
+  std::map<std::string, TimePoint> m_arrivedAt; ///< Latest arrival of a moved machine.
 };
 
 } // namespace mustardtray::job
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -111,6 +111,27 @@
          static_cast<std::size_t>(left.count());
 }
 
+void FleetPlanner::SortForMaintenance(std::vector<const Machine*>& aMachines) const
+{
+  // Utilizations are looked up once for each machine, not for each comparison.
+  std::vector<std::tuple<bool, double, const Machine*>> ranked;
+  ranked.reserve(aMachines.size());
+  for (const Machine* machine : aMachines) {
+    ranked.emplace_back(!m_maintenanceCandidates.contains(machine->m_name),
+                        PoolUtilization(ShardOf(*machine)),
+                        machine);
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+    const auto& [isLeftNew, leftUtilization, left] = aLeft;
+    const auto& [isRightNew, rightUtilization, right] = aRight;
+    return std::tie(isLeftNew, leftUtilization, left->m_name) <
+           std::tie(isRightNew, rightUtilization, right->m_name);
+  });
+  std::transform(ranked.begin(), ranked.end(), aMachines.begin(), [](const auto& aEntry) {
+    return std::get<const Machine*>(aEntry);
+  });
+}
+
 void FleetPlanner::PlanWave(WaveState& aWave,
                             const Deployment& aDeployment,
                             FleetPlan& aPlan,
@@ -159,13 +180,7 @@
       aPlan.m_orders.push_back({ machine->m_name, aWave.m_request.m_number, {}, shard });
     }
   }
-  const auto key = [&](const Machine* aMachine) {
-    const bool isChosen = m_maintenanceCandidates.contains(aMachine->m_name);
-    return std::tuple(!isChosen, PoolUtilization(ShardOf(*aMachine)), aMachine->m_name);
-  };
-  std::sort(pending.begin(), pending.end(), [&](const Machine* aLeft, const Machine* aRight) {
-    return key(aLeft) < key(aRight);
-  });
+  SortForMaintenance(pending);
   std::uint32_t freePlaces = aWave.m_request.m_atOnce > down ? aWave.m_request.m_atOnce - down : 0;
   std::uint32_t machinesToDrain = freePlaces;
   const auto order = [&](const Machine* aMachine, const std::string& aFrom) {
--- a/src/job/FleetPlannerMoves.cpp
+++ b/src/job/FleetPlannerMoves.cpp
@@ -110,14 +110,15 @@
   return balances;
 }
 
-std::vector<std::string> FleetPlanner::RemovableMachines(const std::string& aPool,
-                                                         const FleetPlan& aPlan,
-                                                         TimePoint aNow) const
+std::vector<std::string>& FleetPlanner::RemovableMachines(const std::string& aPool,
+                                                          const FleetPlan& aPlan,
+                                                          TimePoint aNow)
 {
-  std::vector<std::string> removable;
+  const auto [entry, isNew] = m_removable.try_emplace(aPool);
+  std::vector<std::string>& removable = entry->second;
   const auto report = m_reports.find(aPool);
   const auto restrictions = aPlan.m_restrictions.find(aPool);
-  if (report == m_reports.end()) {
+  if (!isNew || report == m_reports.end()) {
     return removable;
   }
   for (const std::string& name : report->second.m_idle) {
@@ -181,13 +182,16 @@
       if (receiver.m_unplaced.empty() || ShardMap::PoolOf(donor.m_shard) == pool) {
         continue;
       }
-      for (const std::string& name : RemovableMachines(donor.m_shard, aPlan, aNow)) {
-        if (donor.m_machines > donor.m_wantedMachines && takeUnits(receiver, name)) {
-          BeginMove(name, donor.m_shard, receiver.m_shard, aPlan, aNow);
+      std::erase_if(RemovableMachines(donor.m_shard, aPlan, aNow), [&](const std::string& aName) {
+        const bool isTaken =
+          donor.m_machines > donor.m_wantedMachines && takeUnits(receiver, aName);
+        if (isTaken) {
+          BeginMove(aName, donor.m_shard, receiver.m_shard, aPlan, aNow);
           ++receiver.m_machines;
           --donor.m_machines;
         }
-      }
+        return isTaken;
+      });
     }
   }
 }
@@ -214,6 +218,7 @@
     }
     ++pendingMove;
   }
+  m_removable.clear();
   std::vector<ShardBalance> balances = Balances(aDeployment, aNow);
   for (ShardBalance& balance : balances) {
     for (const auto& [name, move] : m_pendingMoves) {
@@ -258,16 +263,23 @@
       ++receiver.m_machines;
     }
     for (ShardBalance& donor : balances) {
-      for (const std::string& name : RemovableMachines(donor.m_shard, aPlan, aNow)) {
-        const bool isUseful = receiver.m_machines < receiver.m_wantedMachines &&
-                              donor.m_machines > donor.m_wantedMachines;
-        if (isUseful && ShardMap::PoolOf(donor.m_shard) != pool &&
-            m_shards.Of(pool, name) == receiver.m_shard) {
-          BeginMove(name, donor.m_shard, receiver.m_shard, aPlan, aNow);
+      if (receiver.m_machines >= receiver.m_wantedMachines) {
+        break;
+      }
+      if (donor.m_machines <= donor.m_wantedMachines || ShardMap::PoolOf(donor.m_shard) == pool) {
+        continue;
+      }
+      std::erase_if(RemovableMachines(donor.m_shard, aPlan, aNow), [&](const std::string& aName) {
+        const bool isTaken = receiver.m_machines < receiver.m_wantedMachines &&
+                             donor.m_machines > donor.m_wantedMachines &&
+                             m_shards.Of(pool, aName) == receiver.m_shard;
+        if (isTaken) {
+          BeginMove(aName, donor.m_shard, receiver.m_shard, aPlan, aNow);
           ++receiver.m_machines;
           --donor.m_machines;
         }
-      }
+        return isTaken;
+      });
     }
   }
   for (ShardBalance& donor : balances) {
