Node: reports that arrive together are planned together

Cause: the holder of the machine orders made a whole plan for each report of a pool. All pools report at the same time, five times a second, so the reports at the end of a round waited for the plans of those before them, 4.5 ms each. Beyond the first six or so they were older than the 30 ms for which a report permits orders: from 4 s on more than half of them, always those of the same pools. Their machines stayed cordoned and got no orders.

Change: the reports that arrive within 10 ms are planned together, and a plan is followed by a pause of four times its own length, so that planning cannot take the processor.

--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -30,8 +30,14 @@
 constexpr Millis kMinOrderTimeout{ 400 };
 constexpr Millis kReadTimeout{ 1'500 };
 constexpr Micros kReadRetryDelay{ 300'000 };
-/// A takeover of a pool takes longer than this, so a younger report is still valid.
-constexpr Millis kMaxReportAge{ 30 };
+/// How long after the request for a report its machines can be given orders: a takeover of the pool
+/// takes longer.
+constexpr Millis kReportValidity{ 30 };
+/// Batches the reports that arrive together into one plan.
+constexpr Micros kPlanDelay{ 10'000 };
+/// Pause after a plan in relation to the time that it took, so that planning leaves most of the
+/// processor to other work.
+constexpr int kPauseAfterPlan = 4;
 /// Added to the time within which two lease holders must not send orders, for orders in flight.
 constexpr Millis kOrderMargin{ 300 };
 
@@ -175,15 +181,11 @@
   if (m_isDraining || !m_context.m_lease.IsValid()) {
     return;
   }
-  const job::Deployment& deployment = m_context.m_deployment;
-  const job::FleetPlan plan = Plan();
-  m_restrictions = plan.m_restrictions;
-  LogBalances(plan.m_balances);
+  PlanOrders();
+  LogBalances(m_plan.m_balances);
   std::vector<std::string> shards;
-  for (const job::PoolSpec& pool : deployment.m_pools) {
-    if (pool.m_isSpare) {
-      SendPoolOrders(plan, pool.m_name);
-    } else {
+  for (const job::PoolSpec& pool : m_context.m_deployment.m_pools) {
+    if (!pool.m_isSpare) {
       const std::vector<std::string> names = m_context.m_shards.Names(pool.m_name);
       shards.insert(shards.end(), names.begin(), names.end());
     }
@@ -195,17 +197,49 @@
       SyncPool(shard);
     }
   }
-  for (const std::uint64_t wave : plan.m_completedWaves) {
+  for (const std::uint64_t wave : m_plan.m_completedWaves) {
     if (!m_pendingStatusWrites.contains(wave)) {
       WriteWaveStatus(wave, true);
     }
   }
 }
 
-job::FleetPlan FleetOrderController::Plan()
+void FleetOrderController::RequestPlan()
 {
-  const WorkMeter::Scope scope(m_context.m_work, WorkPart::FleetPlan);
-  return m_planner.Plan(m_context.m_deployment, m_context.m_shards, LeaseClockNow());
+  if (m_planTimer.IsActive()) {
+    return;
+  }
+  const Micros pause = std::chrono::duration_cast<Micros>(m_nextPlanAt - LeaseClockNow());
+  m_planTimer = m_context.m_timers.After(std::max(pause, kPlanDelay), [this] { PlanOrders(); });
+}
+
+void FleetOrderController::PlanOrders()
+{
+  m_planTimer.Cancel();
+  if (m_isDraining || !m_context.m_lease.IsValid()) {
+    return;
+  }
+  const TimePoint start = LeaseClockNow();
+  {
+    const WorkMeter::Scope scope(m_context.m_work, WorkPart::FleetPlan);
+    m_plan = m_planner.Plan(m_context.m_deployment, m_context.m_shards, start);
+  }
+  const TimePoint end = LeaseClockNow();
+  m_nextPlanAt = end + kPauseAfterPlan * (end - start);
+  for (const job::MachineOrder& order : m_plan.m_orders) {
+    if (HasValidReport(order.m_from)) {
+      SendOrder(order);
+    }
+  }
+}
+
+bool FleetOrderController::HasValidReport(const std::string& aPool) const
+{
+  const job::PoolSpec* spare = m_context.m_deployment.SparePool();
+  const auto validUntil = m_reportValidUntil.find(aPool);
+  // A new owner of the pool does not know the cordons, so orders need a valid report.
+  return (spare && spare->m_name == aPool) ||
+         (validUntil != m_reportValidUntil.end() && LeaseClockNow() < validUntil->second);
 }
 
 void FleetOrderController::LogBalances(const std::vector<job::ShardBalance>& aBalances)
@@ -255,7 +289,7 @@
   }
   const TimePoint askedAt = LeaseClockNow();
   m_syncedAt[aPool] = askedAt;
-  job::MachineRestrictions& restrictions = m_restrictions[aPool];
+  job::MachineRestrictions& restrictions = m_plan.m_restrictions[aPool];
   restrictions.m_cordonTime = m_cordonTime;
   m_syncPool(
     aPool,
@@ -266,7 +300,8 @@
       }
       m_pendingSyncs.erase(aPool);
       const TimePoint now = LeaseClockNow();
-      const bool isCurrent = now - askedAt < kMaxReportAge;
+      const TimePoint validUntil = askedAt + kReportValidity;
+      const bool isCurrent = now < validUntil;
       ++m_syncCounts.m_all;
       m_syncCounts.m_failed += aReport ? 0 : 1;
       m_syncCounts.m_outdated += aReport && !isCurrent ? 1 : 0;
@@ -280,22 +315,13 @@
                             { report.m_drainedMachines.begin(), report.m_drainedMachines.end() },
                             std::move(report.m_idleMachines),
                             now });
-      // A new owner of the pool does not know the cordons, so orders need a fresh report.
-      if (isCurrent && !m_isDraining) {
-        SendPoolOrders(Plan(), aPool);
+      m_reportValidUntil[aPool] = validUntil;
+      if (isCurrent) {
+        RequestPlan();
       }
     });
 }
 
-void FleetOrderController::SendPoolOrders(const job::FleetPlan& aPlan, const std::string& aPool)
-{
-  for (const job::MachineOrder& order : aPlan.m_orders) {
-    if (order.m_from == aPool) {
-      SendOrder(order);
-    }
-  }
-}
-
 void FleetOrderController::SendOrder(const job::MachineOrder& aOrder)
 {
   // An order must be answered or have timed out before another node can hold the lease.
@@ -355,18 +381,16 @@
       }
       m_pendingAnnouncements.erase(aOrder.m_machine);
       m_announcedOrders.OnSaved(machines);
-      // The pool's report from before the write may be out of date.
       ReplanPoolOrders(aOrder.m_from);
     });
 }
 
 void FleetOrderController::ReplanPoolOrders(const std::string& aPool)
 {
-  const job::PoolSpec* spare = m_context.m_deployment.SparePool();
-  if (!spare || spare->m_name != aPool) {
+  if (HasValidReport(aPool)) {
+    RequestPlan();
+  } else {
     SyncPool(aPool);
-  } else if (!m_isDraining) {
-    SendPoolOrders(Plan(), aPool);
   }
 }
 
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -51,15 +51,20 @@
   void FinishLoading();
   void ListMachines();
   void Tick();
-  job::FleetPlan Plan();
+  /// Plans soon, so that reports which arrive together are planned together.
+  void RequestPlan();
+  /// Makes a plan and sends those of its orders that the pools' reports permit.
+  void PlanOrders();
+  /// Whether machines of the pool can be given orders; always true for the spare pool.
+  bool HasValidReport(const std::string& aPool) const;
   /// Logs the shards whose number of machines or of wanted machines has changed.
   void LogBalances(const std::vector<job::ShardBalance>& aBalances);
-  /// Sends the cordons to the pool's owner, then sends the orders that its report permits.
+  /// Sends the cordons to the pool's owner. Its report is planned with soon.
   void SyncPool(const std::string& aPool);
-  void SendPoolOrders(const job::FleetPlan& aPlan, const std::string& aPool);
   void SendOrder(const job::MachineOrder& aOrder);
   /// Stores that the machine is about to get an order, then plans the pool's orders again.
   void StoreAnnouncement(const job::MachineOrder& aOrder);
+  /// Plans again, with a new report of the pool if the latest one is no longer valid.
   void ReplanPoolOrders(const std::string& aPool);
   void OnOrderResult(const job::MachineOrder& aOrder, platform::MachineOrderResult aOrderResult);
   void WriteWaveStatus(std::uint64_t aWave, bool aIsCompleted);
@@ -83,8 +88,10 @@
   PoolBatchWriter m_batchWriter;
   std::map<std::uint64_t, std::set<std::string>> m_startedMachinesByWave;
   std::vector<job::WaveRequest> m_deferredWaves;
-  std::map<std::string, job::MachineRestrictions> m_restrictions;
-  Millis m_cordonTime = job::kMinCordonTime; ///< See job::MachineRestrictions.
+  job::FleetPlan m_plan;    ///< The latest one.
+  TimePoint m_nextPlanAt{}; ///< Earliest time of a plan between two periodic ones.
+  std::map<std::string, TimePoint> m_reportValidUntil; ///< By pool; see kReportValidity.
+  Millis m_cordonTime = job::kMinCordonTime;           ///< See job::MachineRestrictions.
   std::set<std::string> m_pendingSyncs;
   std::map<std::string, TimePoint> m_syncedAt; ///< When a pool's owner was last asked.
   /// Logged machines and wanted machines, by shard.
@@ -99,6 +106,7 @@
   bool m_isLoaded = false;
   bool m_isDraining = false;
   TimerHandle m_periodicTimer;
+  TimerHandle m_planTimer;
   TimerHandle m_listTimer;
   std::map<std::string, TimerHandle> m_readRetryTimers; ///< Timers of repeated reads, by table.
   TimerHandle m_drainTimer;
