Node: a pool's report permits machine orders for 200 ms, and its owner keeps the pool for as long

Between a report that a machine is drained and the order, no other owner may give it work. The holder relied on 30 ms in which no takeover can happen, measured from its own request, so a node that was slower than that could give no orders at all, while it went on to renew the cordons.

Now the owner guards the time: it does not release its pool within 200 ms of a report with drained machines. A node that claims the pool of an unresponsive one waits for longer already. A machine that a later sync does not cordon any more does not count as drained, as its owner may have given it work since.

Tests that failed before: "machines get their orders although the owners of their pools report late" (60 ms late: no order in 10 s), "a pool is not handed over while its report permits orders to drained machines" (released after 11 ms).

--- a/include/mustardtray/job/FleetPlanner.h
+++ b/include/mustardtray/job/FleetPlanner.h
@@ -80,6 +80,9 @@
   void AddWave(const WaveRequest& aRequest, std::set<std::string> aBegun);
   /// Stores the latest report from the owner of a shard.
   void SetReport(const std::string& aPool, PoolReport aReport);
+  /// Called when restrictions are sent to the owner of a shard. From then on it may give work to
+  /// the machines that they do not cordon.
+  void OnRestrictionsSent(const std::string& aPool, const MachineRestrictions& aRestrictions);
   /// Called when an order is sent.
   void OnOrderSent(const MachineOrder& aOrder);
   /// Called when an order was carried out.
--- a/src/job/FleetPlanner.cpp
+++ b/src/job/FleetPlanner.cpp
@@ -49,6 +49,17 @@
   m_reports[aPool] = std::move(aReport);
 }
 
+void FleetPlanner::OnRestrictionsSent(const std::string& aPool,
+                                      const MachineRestrictions& aRestrictions)
+{
+  const auto report = m_reports.find(aPool);
+  if (report != m_reports.end()) {
+    std::erase_if(report->second.m_drained, [&](const std::string& aMachine) {
+      return !aRestrictions.m_cordoned.contains(aMachine);
+    });
+  }
+}
+
 void FleetPlanner::OnOrderSent(const MachineOrder& aOrder)
 {
   m_inFlight.insert(aOrder.m_machine);
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -30,9 +30,6 @@
 constexpr Millis kMinOrderTimeout{ 400 };
 constexpr Millis kReadTimeout{ 1'500 };
 constexpr Micros kReadRetryDelay{ 300'000 };
-/// How long after the request for a report its machines can be given orders: a takeover of the pool
-/// takes longer.
-constexpr Millis kReportValidity{ 30 };
 /// Batches the reports that arrive together into one plan.
 constexpr Micros kPlanDelay{ 10'000 };
 /// Pause after a plan in relation to the time that it took, so that planning leaves most of the
@@ -291,6 +288,7 @@
   m_syncedAt[aPool] = askedAt;
   job::MachineRestrictions& restrictions = m_plan.m_restrictions[aPool];
   restrictions.m_cordonTime = m_cordonTime;
+  m_planner.OnRestrictionsSent(aPool, restrictions);
   m_syncPool(
     aPool,
     restrictions,
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -355,6 +355,9 @@
       report.m_drainedMachines.push_back(machine);
     }
   }
+  if (!report.m_drainedMachines.empty()) {
+    m_drainedReportAt = LeaseClockNow();
+  }
   report.m_idleMachines = m_scheduler.IdleMachines(LeaseClockNow());
   return report;
 }
@@ -365,7 +368,8 @@
     RecordFinalLeases();
   }
   m_isDraining = true;
-  if (m_batchWriter.IsIdle() && m_pendingSubmissions.empty()) {
+  const bool isReportValid = LeaseClockNow() - m_drainedReportAt < kReportValidity;
+  if (m_batchWriter.IsIdle() && m_pendingSubmissions.empty() && !isReportValid) {
     aDone();
     return;
   }
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -32,6 +32,11 @@
   Millis m_retryAfter{ 0 };
 };
 
+/// How long after the request for a report the machines that it lists as drained can be given
+/// orders. The owner does not release its pool during this time, because its successor does not
+/// know the cordons. A node that claims the pool of an unresponsive one waits for longer.
+inline constexpr Millis kReportValidity{ 200 };
+
 /// State of a pool that the planning of machine orders needs.
 struct FleetReport
 {
@@ -141,6 +146,7 @@
   TimerHandle m_retryTimer;
   TimerHandle m_drainTimer;
   TimePoint m_loadedAt{};
+  TimePoint m_drainedReportAt{}; ///< Latest report that listed drained machines.
   bool m_isLoaded = false;
   bool m_isClosed = false;
   bool m_isDraining = false;
--- a/tests/node/FleetOrderControllerTest.cpp
+++ b/tests/node/FleetOrderControllerTest.cpp
@@ -164,6 +164,13 @@
 
 } // namespace
 
+TEST_CASE("machines get their orders although the owners of their pools report late")
+{
+  FleetOrderFixture fixture(2, 5, Millis(60));
+  fixture.StartWave();
+  CHECK(fixture.RunUntil([&] { return fixture.m_maintained.size() == 10; }, Millis(10'000)));
+}
+
 TEST_CASE("reports that arrive together are planned together")
 {
   constexpr std::size_t kPools = 40;
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -319,3 +319,19 @@
   REQUIRE(fixture.m_minionCalls > calls + 1);
   CHECK(fixture.m_latestCall.find("until_ms") == std::string::npos);
 }
+
+TEST_CASE("a pool is not handed over while its report permits orders to drained machines")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  TimePoint reportedAt{};
+  REQUIRE(fixture.RunUntil([&] {
+    reportedAt = MonotonicNow();
+    return !fixture.m_owner->ApplyRestrictions({ { kMachine }, {} }).m_drainedMachines.empty();
+  }));
+  bool isDrained = false;
+  fixture.m_owner->Drain([&] { isDrained = true; });
+  REQUIRE(fixture.RunUntil([&] { return isDrained; }));
+  CHECK(MonotonicNow() - reportedAt >= kReportValidity);
+}
