Node: an owner decides once for reports that arrive together

A report now only saves the progress that follows from it, ahead of the minion's row, and requests a decision. Decisions are made at most every 2 ms, and each is followed by a pause of twice its own length, so they use a third of the thread at most.

The test failed before: 378 decisions for 400 reports, 100 permitted.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -183,6 +183,8 @@
   /// Handles due occurrences, expired leases, placement, repeated stop orders and speed limits.
   void Decide(TimePoint aNow, WallTime aWallNow);
   PoolOrders TakeOrders();
+  /// Returns the jobs whose progress has to be written to the store, each once.
+  std::vector<std::string> TakeUnsavedJobs();
   PoolLoad MeasureLoad(TimePoint aNow) const;
   /// Machines on which nothing runs or will run soon, so that they may be moved to another pool.
   std::vector<std::string> IdleMachines(TimePoint aNow) const;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -345,11 +345,17 @@
 {
   PoolOrders orders = std::move(m_orders);
   m_orders = {};
-  orders.m_unsavedJobs.assign(m_unsaved.begin(), m_unsaved.end());
-  m_unsaved.clear();
+  orders.m_unsavedJobs = TakeUnsavedJobs();
   return orders;
 }
 
+std::vector<std::string> PoolScheduler::TakeUnsavedJobs()
+{
+  std::vector<std::string> jobs(m_unsaved.begin(), m_unsaved.end());
+  m_unsaved.clear();
+  return jobs;
+}
+
 void PoolScheduler::OnRefused(const JobRecord& aRecord, TimePoint aNow)
 {
   Job job;
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -189,14 +189,11 @@
   m_owner.m_scheduler.OnLeaseReport(m_minion, report, aAskedAt, now);
   m_owner.m_scheduler.OnEndsAcknowledged(m_minion, m_pendingAcknowledgement);
   m_owner.RecordMinion(m_minion);
-  const std::weak_ptr<int> alive = m_alive;
-  m_owner.DecideNow();
-  if (alive.expired()) {
-    return; // The owner has erased the minion and destroyed this session.
-  }
+  m_owner.SaveUnsavedJobs();
+  m_owner.RequestDecision();
   const auto found = m_owner.m_scheduler.Minions().find(m_minion);
   if (found == m_owner.m_scheduler.Minions().end()) {
-    ScheduleHold(kRetryDelay); // The owner made no decision, for lack of a lease.
+    ScheduleHold(kRetryDelay); // The owner ends this session with its next decision.
     return;
   }
   const std::uint64_t seenEnd = found->second.m_lastProcessedEnd;
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -1,5 +1,7 @@
 #include "node/PoolOwner.h"
 
+#include <algorithm>
+
 #include "mustardtray/process/Log.h"
 
 namespace mustardtray::node {
@@ -8,6 +10,9 @@
 
 /// Batches events that arrive together into one decision.
 constexpr Micros kDecisionDelay{ 2'000 };
+/// Pause after a decision in relation to the time that it took, so that decisions leave time for
+/// the minions' reports and for callers.
+constexpr int kPauseAfterDecision = 2;
 /// Refused jobs whose first attempt is remembered; enough for some seconds of overload.
 constexpr std::size_t kMaxRememberedRefusals = 4'000;
 
@@ -385,7 +390,8 @@
   if (m_decisionTimer.IsActive()) {
     return;
   }
-  m_decisionTimer = m_context.m_timers.After(kDecisionDelay, [this] {
+  const Micros pause = std::chrono::duration_cast<Micros>(m_nextDecisionAt - LeaseClockNow());
+  m_decisionTimer = m_context.m_timers.After(std::max(pause, kDecisionDelay), [this] {
     m_decisionTimer.Cancel();
     DecideNow();
   });
@@ -400,13 +406,20 @@
   const TimePoint now = LeaseClockNow();
   if (m_isDraining || !m_context.m_lease.IsValid()) {
     // No new work is started, but the known ends of runs must still be saved.
-    SaveJobs(m_scheduler.TakeOrders().m_unsavedJobs);
+    SaveUnsavedJobs();
     return;
   }
   m_scheduler.Decide(now, WallNow());
   ExecuteOrders(m_scheduler.TakeOrders());
   RemoveRecordsOfDrained();
   EndSessionsOfErasedMinions();
+  const TimePoint end = LeaseClockNow();
+  m_nextDecisionAt = end + kPauseAfterDecision * (end - now);
+}
+
+void PoolOwner::SaveUnsavedJobs()
+{
+  SaveJobs(m_scheduler.TakeUnsavedJobs());
 }
 
 void PoolOwner::SaveJobs(const std::vector<std::string>& aJobs)
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -102,6 +102,8 @@
   void SendStop(const job::StopOrder& aOrder);
   void RequestAdvice(const job::AdviceRequest& aQuestion);
   void SaveJobs(const std::vector<std::string>& aJobs);
+  /// Writes the progress of jobs that has changed since it was last written.
+  void SaveUnsavedJobs();
   void SaveProgress(const job::Job& aJob, PoolBatchWriter::SavedCallback aSaved);
   void RemoveFromInbox(const std::string& aKey);
   /// Starts a session with a minion unless there is one.
@@ -146,6 +148,7 @@
   TimerHandle m_retryTimer;
   TimerHandle m_drainTimer;
   TimePoint m_loadedAt{};
+  TimePoint m_nextDecisionAt{};  ///< Earliest time of a decision that is made on request.
   TimePoint m_drainedReportAt{}; ///< Latest report that listed drained machines.
   bool m_isLoaded = false;
   bool m_isClosed = false;
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -1,6 +1,7 @@
 #include "node/PoolOwner.h"
 
 #include <optional>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -36,12 +37,12 @@
                        if (m_isMinionGone) {
                          return;
                        }
-                       m_answerTimer = m_timers.After(kAnswerDelay, [this, aExchange] {
+                       m_answerTimers.push_back(m_timers.After(kAnswerDelay, [this, aExchange] {
                          aExchange->SendResponse(JsonResponse(
                            200,
                            fmt::format(R"({{"clock_ms":5000,"born":1,"running":[],"ended":[{}]}})",
                                        m_listedEnds)));
-                       });
+                       }));
                      })
   {
     REQUIRE(m_minionServer.Listen().has_value());
@@ -162,7 +163,7 @@
   soak::RowStoreStandin m_store;
   NodeFixture m_node;
   job::OwnerRow m_claim;
-  TimerHandle m_answerTimer;
+  std::vector<TimerHandle> m_answerTimers;
   int m_minionCalls = 0;
   std::string m_latestCall;    ///< Body of the latest call to the minion.
   std::string m_listedEnds;    ///< Rows of run ends in the minion's answers.
@@ -335,3 +336,17 @@
   REQUIRE(fixture.RunUntil([&] { return isDrained; }));
   CHECK(MonotonicNow() - reportedAt >= kReportValidity);
 }
+
+TEST_CASE("reports of minions that arrive together lead to few decisions")
+{
+  constexpr int kMinions = 40;
+  constexpr int kRounds = 10;
+  constexpr int kMaxDecisionsPerRound = 10;
+  PoolOwnerFixture fixture;
+  for (int i = 0; i < kMinions; ++i) {
+    fixture.m_owner->OnMinionEntry(fixture.MinionEntry(fmt::format("minion-{}", i).c_str()));
+  }
+  REQUIRE(fixture.RunUntil([&] { return fixture.m_minionCalls >= kRounds * kMinions; }));
+  CHECK(fixture.m_node.m_context.m_work.Times(WorkPart::PoolDecision) <=
+        kRounds * kMaxDecisionsPerRound);
+}
