--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -28,6 +28,9 @@
   /// request that is not idempotent: libcurl resends a request when the peer has closed the
   /// connection that it reused.
   bool m_freshConnection = false;
+  /// False: the call fails when libcurl would send its request a second time, because a reused
+  /// connection broke before the response.
+  bool m_isRepeatable = true;
   std::uint64_t m_maxResponseBytes = 64u << 20;
   std::string m_step = "http call"; ///< Step that is named in errors.
   std::string m_caFile;             ///< For https: PEM file of the trusted certificate authority.
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -159,6 +159,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseWithReset);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -376,7 +378,7 @@
     long requestBytes = 0;
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_CONNECT_TIME_T, &connectTime);
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    const bool isNotSent = connectTime == 0 && requestBytes == 0;
+    const bool isNotSent = connectTime == 0 && requestBytes == 0 && aTransfer.m_requestsSent == 0;
     if (aTransfer.m_isTooLarge) {
       return MakeFailure(aTransfer, ErrorKind::Unknown, "response exceeds the size limit", false);
     }
--- a/src/connection/HttpTransfer.cpp
+++ b/src/connection/HttpTransfer.cpp
@@ -68,6 +68,15 @@
   return line.size();
 }
 
+int OnRequest(void* aTransfer, char*, char*, int, int)
+{
+  auto* transfer = static_cast<Transfer*>(aTransfer);
+  ++transfer->m_requestsSent;
+  const bool isRepeated = transfer->m_requestsSent > 1;
+  return isRepeated && !transfer->m_call.m_isRepeatable ? CURL_PREREQFUNC_ABORT
+                                                        : CURL_PREREQFUNC_OK;
+}
+
 int CloseWithReset(void*, curl_socket_t aSocket)
 {
   const linger reset{ 1, 0 };
--- a/src/connection/HttpTransfer.h
+++ b/src/connection/HttpTransfer.h
@@ -32,12 +32,15 @@
   std::chrono::steady_clock::time_point m_deadline{};
   bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
   bool m_isTooLarge = false;
+  int m_requestsSent = 0;
 };
 
 /// libcurl's callback for a part of the response's body. aTransfer is the Transfer.
 std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
 /// libcurl's callback for a line of the response's header. aTransfer is the Transfer.
 std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
+/// libcurl's callback before it sends the request on a connection. aTransfer is the Transfer.
+int OnRequest(void* aTransfer, char*, char*, int, int);
 /// Closes with a reset. A plain close lets the kernel deliver unsent data long after the call was
 /// aborted: an order that was delayed by a network partition must not arrive when it heals.
 int CloseWithReset(void*, curl_socket_t aSocket);
--- a/tests/connection/HttpClientTest.cpp
+++ b/tests/connection/HttpClientTest.cpp
@@ -1,6 +1,8 @@
 #include "mustardtray/connection/HttpClient.h"
 
+#include <atomic>
 #include <future>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -72,6 +74,53 @@
   CHECK(server.Requests() == 1);
 }
 
+TEST_CASE("HttpClient sends no second copy of an order when a reused connection breaks")
+{
+  constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  asio::io_context serverContext;
+  asio::ip::tcp::acceptor acceptor(serverContext, Loopback(0));
+  std::atomic<int> requests = 0;
+  // Answers one request on each connection; closes the connection after having read the second one.
+  std::thread server([&] {
+    for (int connection = 0; connection < 2; ++connection) {
+      asio::ip::tcp::socket socket = acceptor.accept();
+      asio::error_code error;
+      std::string request;
+      for (int i = 0; i < 2 && !error; ++i) {
+        std::size_t size =
+          asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\nwork", error);
+        request.erase(0, size);
+        requests += error ? 0 : 1;
+        if (!error && i == 0) {
+          asio::write(socket, asio::buffer(kOk), error);
+        }
+      }
+    }
+  });
+  asio::io_context context;
+  std::optional<HttpClient> client(std::in_place, context);
+  std::vector<HttpCallResult> results;
+  for (const bool isRepeatable : { true, false }) {
+    HttpCall call = CallTo(acceptor.local_endpoint().port());
+    call.m_isRepeatable = isRepeatable;
+    client->Start(std::move(call),
+                  [&](HttpCallResult aResult) { results.push_back(std::move(aResult)); });
+    context.restart();
+    context.run_for(Millis(300));
+  }
+  const int requestsOfBoth = requests;
+  client.reset();
+  // Ends the server's second connection, or the wait for it.
+  asio::ip::tcp::socket(serverContext).connect(acceptor.local_endpoint());
+  server.join();
+  CHECK(requestsOfBoth == 2);
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].has_value());
+  REQUIRE(results[1].has_error());
+  CHECK(results[1].error().m_error.m_kind == ErrorKind::Unknown);
+  CHECK_FALSE(results[1].error().m_isNotSent);
+}
+
 TEST_CASE("HttpClient delivers a response that arrived in time although its thread was blocked")
 {
   constexpr int kCalls = 300; // More than the event loop takes up in one round.
