Job: revoke unanswered starts at a restarted minion

Callers could see two runs of one unit at the same time. A start order without an answer may be carried out seconds later. When its minion had restarted under the same id, the scheduler dropped all runs there, so the unit started elsewhere; the new incarnation knows neither the stop that revoked the start nor a clock on which the order is late, and has seen no fencing token, so it accepted the late order. The same happened when the minion counted as lost first, and when the stop had been confirmed by the former incarnation.

Each minion now has a list of its open starts: ordered, without an answer, never listed. They are stopped again at each new incarnation. A run whose start is open keeps its unit from starting elsewhere until this incarnation has confirmed the stop and a later list does not have the run. At a lost minion it does so until the order is 15 s old (6 s for long-running units, which have to run again soon) or another minion has come up on the machine. A stop answer of a former incarnation confirms nothing. The record of a minion with open starts stays.

Remaining: until the owner has reached the new incarnation, a start that was already given up can still run there.

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -79,7 +79,8 @@
   std::string m_unit;
   std::uint32_t m_run = 0;
   StopReason m_reason = StopReason::JobEnded;
-  bool m_isRepeated = false; ///< An earlier order for the run got no answer.
+  bool m_isRepeated = false;        ///< An earlier order for the run got no answer.
+  std::int64_t m_minionStartMs = 0; ///< Start time of the incarnation that the order is meant for.
 };
 
 /// Order to limit a run to a percentage of its full speed.
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -234,6 +234,12 @@
   Run& AddRun(MinionState& aMinion, Unit* aUnit, const std::string& aName, Run aRun);
   void DropRun(MinionState& aMinion, const std::string& aUnit, TimePoint aNow);
   void DropAllRuns(MinionState& aMinion, TimePoint aNow);
+  /// Drops the runs that ended with their minion. Those with an open start order are stopped
+  /// instead, because the next incarnation of the minion may carry the order out. aMustWait:
+  /// whether the unit of such a run has to wait for that.
+  void DropEndedRuns(MinionState& aMinion,
+                     const std::function<bool(const Run&)>& aMustWait,
+                     TimePoint aNow);
   /// Resets the state of a minion that has restarted: it lost its runs and its history.
   void ResetRestartedMinion(MinionState& aMinion, std::int64_t aRestartedAtMs, TimePoint aNow);
   /// Returns the runs that may be the cause when the minion crashes now.
@@ -347,6 +353,8 @@
   void PlaceOnCordoned(std::vector<QueuedStep>& aQueued, bool aIsRecovering, TimePoint aNow);
   void LapseCordons(TimePoint aNow);
   void ResendStops(TimePoint aNow);
+  /// Sends the stops of dropped runs whose start orders the minion may still carry out.
+  void RevokeOpenStarts(MinionState& aMinion, TimePoint aNow);
 
   PoolPolicy m_policy;
   TimePoint m_beganAt;
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -106,6 +106,14 @@
 /// Creates a run that starts now. aStep is the unit's step, or nullptr when its job is unknown.
 Run MakeRun(const UnitId& aUnit, std::uint32_t aRun, const StepSpec* aStep, TimePoint aNow);
 
+/// A start order that may still be carried out: it has no answer, and its run has not been listed.
+struct OpenStart
+{
+  TimePoint m_orderedAt{};
+  TimePoint m_lastStopAt{};
+  bool m_isRevoked = false; ///< The minion's current incarnation has confirmed a stop of the run.
+};
+
 struct MinionState
 {
   MinionEntry m_entry;
@@ -123,10 +131,13 @@
   bool m_isLeaseFinal = false;       ///< It gets no more leases from this owner.
   std::string m_heldForJob;          ///< Being emptied for a unit that needs isolation.
   std::map<std::string, Run> m_runs; ///< By UnitId::Text().
-  int m_isolatedRuns = 0;            ///< Runs with m_isIsolated.
+  /// By UnitId::Text() and run number; kept after the run has been dropped.
+  std::map<std::pair<std::string, std::uint32_t>, OpenStart> m_openStarts;
+  int m_isolatedRuns = 0; ///< Runs with m_isIsolated.
   Resources m_used;
   std::size_t m_runsOfUnknownSize = 0;
   TimePoint m_lastAnswerAt{};
+  bool m_areLossesCounted = false;      ///< Its loss has been recorded; it has not answered since.
   TimePoint m_leaseEnd{};               ///< Latest time at which its runs can still hold a lease.
   std::uint64_t m_lastProcessedEnd = 0; ///< Ends up to this number have been processed.
   std::uint64_t m_lastAcknowledgedEnd = 0; ///< Ends up to this number have been acknowledged.
@@ -142,6 +153,10 @@
   {
     return m_registeredStartMs != 0 && m_registeredStartMs < m_reportedStartMs;
   }
+  bool HasOpenStart(const Run& aRun) const
+  {
+    return m_openStarts.contains({ aRun.m_unit.Text(), aRun.m_run });
+  }
   /// Whether its end is expected.
   bool IsLeaving() const { return m_isCordoned || m_entry.m_isDraining; }
   Resources Free() const
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -12,6 +12,11 @@
 constexpr Millis kMinionDiscoveryTime{ 3'000 };
 /// Margin on the expiry of leases, for timers that fire late.
 constexpr Millis kLeaseExpiryMargin{ 100 };
+/// Longest time after which an order without an answer is still carried out.
+constexpr Millis kMaxOrderDelay{ 15'000 };
+/// Longest time for which a long-running unit waits for such an order to a lost minion, because the
+/// unit has to run again soon.
+constexpr Millis kMaxLongRunningOrderWait{ 6'000 };
 
 /// Whether nothing would be lost with this incarnation of the minion: it has no runs, also none
 /// that this owner does not know, and no ends that it has not been told are stored.
@@ -21,6 +26,18 @@
          aMinion.m_lastAcknowledgedEnd >= aMinion.m_lastProcessedEnd;
 }
 
+/// Whether the unit waits until the start order cannot be carried out by the lost minion any more.
+bool MustWaitForOrder(const Run& aRun, TimePoint aNow)
+{
+  return !aRun.m_isLongRunning || aNow - aRun.m_orderedAt <= kMaxLongRunningOrderWait;
+}
+
+/// Whether nothing of this owner can run on the minion any more.
+bool IsUnused(const MinionState& aMinion, TimePoint aLeaseEnd, TimePoint aNow)
+{
+  return aMinion.m_runs.empty() && aMinion.m_openStarts.empty() && aNow > aLeaseEnd;
+}
+
 } // namespace
 
 void PoolScheduler::UpdateMinion(const MinionEntry& aEntry, TimePoint aNow)
@@ -50,7 +67,16 @@
                                          TimePoint aNow)
 {
   RecordCrash(aMinion, aRestartedAtMs, aNow);
-  DropAllRuns(aMinion, aNow);
+  aMinion.m_entry.m_startedAtMs = aRestartedAtMs;
+  for (auto& [key, start] : aMinion.m_openStarts) {
+    start.m_isRevoked = false;
+    start.m_lastStopAt = {};
+  }
+  for (auto& [name, run] : aMinion.m_runs) {
+    run.m_lastStopAt = {};
+  }
+  DropEndedRuns(
+    aMinion, [](const Run&) { return true; }, aNow);
   m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_lastProcessedEnd = 0;
   aMinion.m_lastAcknowledgedEnd = 0;
@@ -65,7 +91,7 @@
     return;
   }
   found->second.m_isRegistered = false;
-  if (found->second.m_runs.empty() && aNow > found->second.m_leaseEnd && !m_awaited.contains(aId)) {
+  if (IsUnused(found->second, found->second.m_leaseEnd, aNow) && !m_awaited.contains(aId)) {
     m_minions.erase(found);
   }
 }
@@ -81,6 +107,7 @@
     if (isReplaced) {
       RecordCrash(minion, aLatest.m_startedAtMs, aNow);
       DropAllRuns(minion, aNow);
+      minion.m_openStarts.clear(); // Orders name the minion, so the later one refuses them.
       m_awaited.erase(id);
       minion.m_isRegistered = false;
       minion.m_leaseEnd = {};
@@ -146,7 +173,8 @@
 {
   std::vector<std::string> drained;
   for (auto& [id, minion] : m_minions) {
-    if (minion.IsLeaving() && !minion.m_isReleased && HasNoWork(minion)) {
+    if (minion.IsLeaving() && !minion.m_isReleased && HasNoWork(minion) &&
+        minion.m_openStarts.empty()) {
       minion.m_isReleased = true;
       minion.m_isRecorded = false;
       drained.push_back(id);
@@ -199,16 +227,20 @@
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
+    std::erase_if(minion.m_openStarts, [&](const auto& aStart) {
+      return aNow - aStart.second.m_orderedAt > kMaxOrderDelay;
+    });
     if (IsLost(minion, aNow)) {
-      if (!minion.IsLeaving()) {
+      if (!minion.IsLeaving() && !minion.m_areLossesCounted) {
         m_crashHistory.OnRunsLost(minion.m_entry, SuspectsOn(minion), aNow);
       }
-      DropAllRuns(minion, aNow);
+      minion.m_areLossesCounted = true;
+      DropEndedRuns(
+        minion, [&](const Run& aRun) { return MustWaitForOrder(aRun, aNow); }, aNow);
       m_awaited.erase(entry->first);
     }
-    const bool isUnused = minion.m_runs.empty() && !m_awaited.contains(entry->first) &&
-                          aNow > minion.m_leaseEnd + kLeaseExpiryMargin;
-    if (isUnused && !minion.m_isRegistered) {
+    if (IsUnused(minion, minion.m_leaseEnd + kLeaseExpiryMargin, aNow) &&
+        !m_awaited.contains(entry->first) && !minion.m_isRegistered) {
       entry = m_minions.erase(entry);
     } else {
       ++entry;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -28,6 +28,7 @@
   const bool isKnown = entry != minion.m_runs.end() && entry->second.m_run == aOrder.m_run;
   if (aResult != OrderResult::NoAnswer) {
     minion.m_missedCalls = 0;
+    minion.m_openStarts.erase({ aOrder.m_unit, aOrder.m_run });
   }
   if (!isKnown) {
     return;
@@ -79,15 +80,18 @@
 void PoolScheduler::OnStopAnswer(const StopOrder& aOrder, OrderResult aResult, TimePoint aNow)
 {
   const auto found = m_minions.find(aOrder.m_minion);
-  if (found == m_minions.end()) {
-    return;
+  if (found == m_minions.end() || aResult != OrderResult::Started ||
+      aOrder.m_minionStartMs != found->second.m_entry.m_startedAtMs) {
+    return; // A later incarnation of the minion does not know of the stop.
   }
-  const auto entry = found->second.m_runs.find(aOrder.m_unit);
-  if (entry == found->second.m_runs.end() || entry->second.m_run != aOrder.m_run) {
-    return;
+  MinionState& minion = found->second;
+  const auto openStart = minion.m_openStarts.find({ aOrder.m_unit, aOrder.m_run });
+  if (openStart != minion.m_openStarts.end()) {
+    openStart->second.m_isRevoked = true;
   }
-  if (aResult == OrderResult::Started) {
-    found->second.m_missedCalls = 0;
+  const auto entry = minion.m_runs.find(aOrder.m_unit);
+  if (entry != minion.m_runs.end() && entry->second.m_run == aOrder.m_run) {
+    minion.m_missedCalls = 0;
     entry->second.m_isStopConfirmed = true;
     entry->second.m_confirmedAt = aNow;
   }
@@ -116,6 +120,7 @@
   m_crashHistory.OnAnswer(aMinion, aReport.m_startedAtMs);
   minion.m_lastAnswerAt = aNow;
   minion.m_missedCalls = 0;
+  minion.m_areLossesCounted = false;
   minion.m_isFenced = true;
   minion.m_isReleased = minion.m_isReleased && minion.IsLeaving();
   m_awaited.erase(aMinion);
@@ -138,6 +143,7 @@
 
 void PoolScheduler::OnEnd(MinionState& aMinion, const ListedEnd& aEnd, TimePoint aNow)
 {
+  aMinion.m_openStarts.erase({ aEnd.m_unit, aEnd.m_run });
   const auto id = UnitId::Parse(aEnd.m_unit);
   if (!id) {
     return;
@@ -258,6 +264,7 @@
   std::set<std::string_view> listed;
   for (const ListedRun& row : aReport.m_running) {
     listed.insert(row.m_unit);
+    aMinion.m_openStarts.erase({ row.m_unit, row.m_run });
     const auto id = UnitId::Parse(row.m_unit);
     if (!id) {
       continue;
@@ -354,6 +361,24 @@
   }
 }
 
+void PoolScheduler::DropEndedRuns(MinionState& aMinion,
+                                  const std::function<bool(const Run&)>& aMustWait,
+                                  TimePoint aNow)
+{
+  std::vector<std::string> ended;
+  for (auto& [name, run] : aMinion.m_runs) {
+    if (!aMinion.HasOpenStart(run) || !aMustWait(run)) {
+      ended.push_back(name);
+    } else if (run.m_phase != RunPhase::Stopping || run.m_isStopConfirmed) {
+      run.m_isStopConfirmed = false;
+      StopRun(aMinion, run, StopReason::StartUnanswered, aNow);
+    }
+  }
+  for (const std::string& name : ended) {
+    DropRun(aMinion, name, aNow);
+  }
+}
+
 void PoolScheduler::StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow)
 {
   const bool isRepeated = aRun.m_phase == RunPhase::Stopping;
@@ -363,8 +388,12 @@
   aRun.m_stopReason = isRepeated ? aRun.m_stopReason : aReason;
   aRun.m_phase = RunPhase::Stopping;
   aRun.m_lastStopAt = aNow;
-  m_orders.m_stops.push_back(
-    { aMinion.m_entry.m_id, aRun.m_unit.Text(), aRun.m_run, aRun.m_stopReason, isRepeated });
+  m_orders.m_stops.push_back({ aMinion.m_entry.m_id,
+                               aRun.m_unit.Text(),
+                               aRun.m_run,
+                               aRun.m_stopReason,
+                               isRepeated,
+                               aMinion.m_entry.m_startedAtMs });
 }
 
 void PoolScheduler::StopRunsOf(const Job& aJob, TimePoint aNow)
@@ -388,6 +417,28 @@
         StopRun(minion, run, run.m_stopReason, aNow);
       }
     }
+    RevokeOpenStarts(minion, aNow);
+  }
+}
+
+void PoolScheduler::RevokeOpenStarts(MinionState& aMinion, TimePoint aNow)
+{
+  for (auto& [key, start] : aMinion.m_openStarts) {
+    const auto& [unit, runNumber] = key;
+    const auto run = aMinion.m_runs.find(unit);
+    const bool hasRun = run != aMinion.m_runs.end() && run->second.m_run == runNumber;
+    if (hasRun || start.m_isRevoked || !aMinion.m_isFenced ||
+        aNow - start.m_lastStopAt <= kStopResendDelay) {
+      continue;
+    }
+    const bool isRepeated = start.m_lastStopAt != TimePoint{};
+    start.m_lastStopAt = aNow;
+    m_orders.m_stops.push_back({ aMinion.m_entry.m_id,
+                                 unit,
+                                 runNumber,
+                                 StopReason::StartUnanswered,
+                                 isRepeated,
+                                 aMinion.m_entry.m_startedAtMs });
   }
 }
 
--- /dev/null
+++ b/tests/job/LateOrderTest.cpp
@@ -0,0 +1,182 @@
+#include "tests/job/PoolFixture.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+using namespace mustardtray;
+using namespace mustardtray::job;
+
+/// Start orders without an answer, which a minion or its next incarnation carries out seconds late.
+
+namespace {
+
+constexpr std::int64_t kRestartedAtMs = 5'000;
+
+/// A unit whose start order got no answer, and another minion that can take it.
+struct LateOrderFixture : PoolFixture
+{
+  LateOrderFixture()
+  {
+    AddMinion("a");
+    m_pool.AddJob(MakeJob("j", 1), m_now, false);
+    const PoolOrders orders = Decide();
+    REQUIRE(orders.m_starts.size() == 1);
+    m_start = orders.m_starts[0];
+    AddMinion("b", 2'000); // The fullest minion is chosen first.
+  }
+
+  void LoseAnswer() { m_pool.OnStartAnswer(m_start, OrderResult::NoAnswer, m_now); }
+
+  std::vector<StopOrder> TakeStops() { return Decide().m_stops; }
+
+  void Confirm(const std::vector<StopOrder>& aStops)
+  {
+    for (const StopOrder& stop : aStops) {
+      m_pool.OnStopAnswer(stop, OrderResult::Started, m_now);
+    }
+  }
+
+  void Restart()
+  {
+    Advance(Millis(500));
+    Report("a", {}, {}, kRestartedAtMs);
+  }
+
+  /// Lets the lease of the minion expire without an answer.
+  void Lose()
+  {
+    Advance(Millis(3'200));
+    m_pool.OnLeaseExtensionFailed("a", m_now);
+    Report("b", {}, {});
+  }
+
+  /// Confirms the stop in the current incarnation, whose next list does not have the run.
+  void Revoke(std::int64_t aStartedAtMs)
+  {
+    const std::vector<StopOrder> stops = TakeStops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].m_minion == "a");
+    CHECK(stops[0].m_unit == m_start.m_unit);
+    CHECK(stops[0].m_run == m_start.m_run);
+    Confirm(stops);
+    Advance(Millis(10));
+    Report("a", {}, {}, aStartedAtMs);
+  }
+
+  StartOrder m_start;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LateOrderFixture,
+                  "a start order that a restarted minion carries out late runs no unit twice")
+{
+  SUBCASE("the order has no answer yet") {}
+  SUBCASE("the order and its stop got no answer")
+  {
+    LoseAnswer();
+    TakeStops();
+  }
+  SUBCASE("the former incarnation has confirmed the stop")
+  {
+    LoseAnswer();
+    Confirm(TakeStops());
+  }
+  Restart();
+  CHECK(m_pool.Minions().at("a").m_runs.size() == 1);
+  Revoke(kRestartedAtMs);
+  CHECK(Decide().m_starts.size() == 1);
+}
+
+TEST_CASE_FIXTURE(LateOrderFixture, "a stop that the former incarnation confirms late is repeated")
+{
+  LoseAnswer();
+  const std::vector<StopOrder> stops = TakeStops();
+  Restart();
+  Confirm(stops);
+  Advance(Millis(10));
+  Report("a", {}, {}, kRestartedAtMs);
+  CHECK(Decide().m_starts.empty());
+}
+
+TEST_CASE_FIXTURE(LateOrderFixture, "a start that was answered ends with the minion's restart")
+{
+  m_pool.OnStartAnswer(m_start, OrderResult::Started, m_now);
+  Restart();
+  const PoolOrders orders = Decide();
+  CHECK(orders.m_starts.size() == 1);
+  CHECK(orders.m_stops.empty());
+}
+
+TEST_CASE_FIXTURE(LateOrderFixture,
+                  "a start order to a lost minion is revoked when it has restarted")
+{
+  LoseAnswer();
+  TakeStops();
+  Lose();
+  CHECK(Decide().m_starts.empty());
+  SUBCASE("it comes back")
+  {
+    Restart();
+    Revoke(kRestartedAtMs);
+    CHECK(Decide().m_starts.size() == 1);
+  }
+  SUBCASE("it stays away for longer than an order can be delayed")
+  {
+    Advance(Millis(15'000));
+    Report("b", {}, {});
+    CHECK(Decide().m_starts.size() == 1);
+  }
+  SUBCASE("its machine comes back as another minion")
+  {
+    m_pool.OnMachineIncarnation({ "machine-a", "c", kRestartedAtMs }, m_now);
+    CHECK(Decide().m_starts.size() == 1);
+  }
+}
+
+TEST_CASE_FIXTURE(LateOrderFixture, "a revoked start order is revoked again after a restart")
+{
+  LoseAnswer();
+  Revoke(1);
+  const std::vector<StartOrder> starts = StartAll();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].m_minion == "b");
+  SUBCASE("the minion restarts")
+  {
+    Restart();
+    const std::vector<StopOrder> stops = TakeStops();
+    const bool isRevoked = std::any_of(stops.begin(), stops.end(), [&](const StopOrder& aStop) {
+      return aStop.m_minion == "a" && aStop.m_run == m_start.m_run;
+    });
+    CHECK(isRevoked);
+    Confirm(stops);
+    Advance(Millis(1'000));
+    CHECK(TakeStops().empty());
+  }
+  SUBCASE("the minion is leaving: a later owner has to find its record")
+  {
+    m_pool.SetRestrictions({ { "machine-a", "machine-b" }, {} }, m_now);
+    CHECK(m_pool.TakeDrainedMinions().empty());
+  }
+}
+
+TEST_CASE("a long-running unit waits a limited time for a start order to a lost minion")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  JobRecord record = MakeJob("j", 1);
+  record.m_spec.m_steps[0].m_isLongRunning = true;
+  fixture.m_pool.AddJob(record, fixture.m_now, false);
+  const PoolOrders orders = fixture.Decide();
+  REQUIRE(orders.m_starts.size() == 1);
+  fixture.AddMinion("b");
+  fixture.m_pool.OnStartAnswer(orders.m_starts[0], OrderResult::NoAnswer, fixture.m_now);
+  fixture.Advance(Millis(3'200));
+  fixture.m_pool.OnLeaseExtensionFailed("a", fixture.m_now);
+  fixture.Report("b", {}, {});
+  CHECK(fixture.Decide().m_starts.empty());
+  fixture.Advance(Millis(3'000));
+  fixture.Report("b", {}, {});
+  CHECK(fixture.Decide().m_starts.size() == 1);
+}
