Job: see a restart on a clock that was set back

Callers could see a unit start again after it was done. The start times of a minion's incarnations were compared by order. With the time of day set back at a restart, the scheduler took the new incarnation for the former one: ends up to the former one's highest number counted as processed, so a unit that was done there ran again. A registration with a higher start time, of another writer or of an incarnation with a clock ahead, dropped the runs of the live minion.

An answer with another start time is now another incarnation. Former start times are remembered, so their registrations count as outdated. A registration alone ends no runs of a minion that has answered: it gets no new work until its own answer shows the restart, or its leases end.

--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -120,6 +121,8 @@
   bool m_isRegistered = true;           ///< The store has its registration.
   std::int64_t m_registeredStartMs = 0; ///< Start time in its registration.
   std::int64_t m_reportedStartMs = 0;   ///< Start time in its latest report.
+  /// Start times of former incarnations. The machine's clock may have been set back since.
+  std::set<std::int64_t> m_formerStartsMs;
   bool m_isFenced = false;   ///< It has answered this owner and refuses orders of earlier ones.
   bool m_isCordoned = false; ///< Gets no new work because of planned maintenance or a move.
   TimePoint m_cordonedAt{};  ///< When it was cordoned.
@@ -151,7 +154,8 @@
   /// Whether its registration is of a former incarnation, which may have had another capacity.
   bool IsRegistrationOutdated() const
   {
-    return m_registeredStartMs != 0 && m_registeredStartMs < m_reportedStartMs;
+    return m_registeredStartMs != 0 && (m_registeredStartMs < m_reportedStartMs ||
+                                        m_formerStartsMs.contains(m_registeredStartMs));
   }
   bool HasOpenStart(const Run& aRun) const
   {
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -48,13 +48,17 @@
     minion.m_isRegistered = false;
     return;
   }
-  const bool hasRestarted =
-    minion.m_entry.m_startedAtMs != 0 && aEntry.m_startedAtMs > minion.m_entry.m_startedAtMs;
-  if (hasRestarted) {
+  const std::int64_t knownStartMs = minion.m_entry.m_startedAtMs;
+  const bool isLater = knownStartMs != 0 && aEntry.m_startedAtMs > knownStartMs;
+  if (isLater && minion.m_reportedStartMs != 0) {
+    // Only its own answer shows that the runs have ended: the entry may be of another writer.
+    minion.m_isFenced = false;
+  } else if (isLater) {
     ResetRestartedMinion(minion, aEntry.m_startedAtMs, aNow);
   }
   m_crashHistory.OnIncarnation({ aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs }, aNow);
-  const std::int64_t startedAtMs = std::max(minion.m_entry.m_startedAtMs, aEntry.m_startedAtMs);
+  const std::int64_t startedAtMs =
+    minion.m_reportedStartMs != 0 ? knownStartMs : std::max(knownStartMs, aEntry.m_startedAtMs);
   minion.m_entry = aEntry;
   minion.m_entry.m_startedAtMs = startedAtMs;
   minion.m_isRegistered = true;
@@ -67,6 +71,8 @@
                                          TimePoint aNow)
 {
   RecordCrash(aMinion, aRestartedAtMs, aNow);
+  aMinion.m_formerStartsMs.insert(aMinion.m_entry.m_startedAtMs);
+  aMinion.m_formerStartsMs.erase(aRestartedAtMs);
   aMinion.m_entry.m_startedAtMs = aRestartedAtMs;
   for (auto& [key, start] : aMinion.m_openStarts) {
     start.m_isRevoked = false;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -107,9 +107,10 @@
     return;
   }
   MinionState& minion = found->second;
-  const bool hasRestarted = aReport.m_startedAtMs > minion.m_entry.m_startedAtMs;
-  if (hasRestarted) {
-    if (minion.m_entry.m_startedAtMs != 0) {
+  // The start time of a later incarnation is lower when the machine's clock has been set back.
+  const std::int64_t knownStartMs = minion.m_entry.m_startedAtMs;
+  if (aReport.m_startedAtMs != 0 && aReport.m_startedAtMs != knownStartMs) {
+    if (knownStartMs != 0) {
       ResetRestartedMinion(minion, aReport.m_startedAtMs, aNow);
     }
     minion.m_entry.m_startedAtMs = aReport.m_startedAtMs;
