Node: a minion is not replaced by an older registration of its machine

Callers could see two runs of one unit at the same time. When a machine's clock was set back, the registration of its former minion had the later start time as long as it stayed in the store. A new owner then took the live minion for the replaced one, did not wait for its leases and started its units elsewhere.

Incarnations now carry the version of their registration. A registered minion whose own registration is newer in the store is not replaced.

Remaining: a new entry of another writer that names the machine and a later start time still replaces the minion.

The case in ClockStepTest.cpp failed before: CHECK( m_pool.IsRecovering(m_now) ) values: CHECK( false )

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -23,6 +23,7 @@
   bool m_isDraining = false;
   Resources m_capacity;
   std::vector<std::string> m_labels;
+  std::uint64_t m_rowVersion = 0; ///< Of the registration in the store.
   /// From then on the registration may not show what the minion has now; zero: no limit.
   TimePoint m_outdatedAt{};
 
@@ -40,12 +41,13 @@
 };
 
 /// The minion that is the current incarnation of a machine. Incarnations are ordered by their start
-/// time on the machine's clock.
+/// time on the machine's clock, which may be set back: the older registration is not the later one.
 struct MachineIncarnation
 {
   std::string m_machine;
   std::string m_minion;
   std::int64_t m_startedAtMs = 0;
+  std::uint64_t m_rowVersion = 0; ///< Of its registration in the store.
 };
 
 /// Order to start a run of a work unit.
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -109,7 +109,8 @@
     const MinionEntry& entry = minion.m_entry;
     const bool isReplaced = id != aLatest.m_minion && entry.m_machine == aLatest.m_machine &&
                             !entry.m_machine.empty() && entry.m_startedAtMs != 0 &&
-                            entry.m_startedAtMs < aLatest.m_startedAtMs;
+                            entry.m_startedAtMs < aLatest.m_startedAtMs &&
+                            !(minion.m_isRegistered && entry.m_rowVersion > aLatest.m_rowVersion);
     if (isReplaced) {
       RecordCrash(minion, aLatest.m_startedAtMs, aNow);
       DropAllRuns(minion, aNow);
--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -8,7 +8,7 @@
 
 job::MachineIncarnation IncarnationOf(const job::MinionEntry& aEntry)
 {
-  return { aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs };
+  return { aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs, aEntry.m_rowVersion };
 }
 
 } // namespace
@@ -40,6 +40,7 @@
     auto entry =
       row.m_isDeleted ? std::nullopt : platform::DecodeMinionEntry(row.m_rowId.m_key, row.m_value);
     if (entry) {
+      entry->m_rowVersion = row.m_version;
       // Minions of other pools refuse what does not fit.
       const job::PoolSpec* pool = m_context.m_deployment.FindPool(entry->m_pool);
       if (pool && !pool->m_isGuarded) {
--- a/tests/job/ClockStepTest.cpp
+++ b/tests/job/ClockStepTest.cpp
@@ -11,10 +11,11 @@
 
 struct ClockStepFixture : PoolFixture
 {
-  void Register(const std::string& aId, std::int64_t aStartedAtMs)
+  void Register(const std::string& aId, std::int64_t aStartedAtMs, std::uint64_t aRowVersion = 0)
   {
     MinionEntry entry = MakeMinion(aId);
     entry.m_startedAtMs = aStartedAtMs;
+    entry.m_rowVersion = aRowVersion;
     m_pool.UpdateMinion(entry, m_now);
     m_pool.Minions().at(aId).m_isRecorded = true;
   }
@@ -86,3 +87,31 @@
     CHECK(Decide().m_starts.size() == 1);
   }
 }
+
+TEST_CASE_FIXTURE(ClockStepFixture,
+                  "an older registration with a later start time does not replace a live minion")
+{
+  const auto replace = [&](std::uint64_t aRowVersion) {
+    m_pool.OnMachineIncarnation({ "machine-a", "gone", 100, aRowVersion }, m_now);
+  };
+  SUBCASE("a new owner waits for the minion")
+  {
+    m_pool.AwaitMinion("a", m_now + Millis(4'400));
+    Register("a", 50, 9);
+    replace(5);
+    CHECK(m_pool.IsRecovering(m_now));
+    replace(10);
+    CHECK_FALSE(m_pool.IsRecovering(m_now));
+  }
+  SUBCASE("the minion has a run")
+  {
+    Register("a", 50, 9);
+    Report("a", {}, {}, 50);
+    StartJob("j");
+    AddMinion("b");
+    replace(5);
+    CHECK(Decide().m_starts.empty());
+    replace(10);
+    CHECK(Decide().m_starts.size() == 1);
+  }
+}
