Job: assume the longest grant at a minion that has restarted

Callers could see two runs of one unit at the same time. A lease that was computed on the clock of a minion's former incarnation is cut by the new one to the minions' own maximum (bounds.hold_max_ms), while the owner assumed that it ends after 3 to 4 s. If the minion was cut off next, its units started elsewhere too early.

When a minion has restarted and a call that may have reached the new incarnation is open or failed, the scheduler assumes the minions' own maximum from the moment that it learns of the restart.

Remaining: a lease extension that is carried out after that moment prolongs the leases from its arrival on.

The case in ClockStepTest.cpp failed before: CHECK( Decide().m_starts.empty() ) values: CHECK( false )

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -26,7 +26,8 @@
 /// Limits of the scheduler.
 struct PoolPolicy
 {
-  Millis m_maxRunLease{ 6'000 }; ///< Longest lease that a minion grants.
+  Millis m_maxRunLease{ 6'000 };     ///< Longest lease that an owner asks for.
+  Millis m_maxGrantedLease{ 6'000 }; ///< Longest lease that a minion grants.
 };
 
 /// A crash of a minion, for logs.
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -10,6 +10,8 @@
 
 /// Time after a takeover until a machine without a minion is assumed to have none.
 constexpr Millis kMinionDiscoveryTime{ 3'000 };
+/// Of a minion's clock, with a margin.
+constexpr double kClockSlowdown = 1.03;
 /// Margin on the expiry of leases, for timers that fire late.
 constexpr Millis kLeaseExpiryMargin{ 100 };
 /// Longest time after which an order without an answer is still carried out.
@@ -83,6 +85,14 @@
   }
   DropEndedRuns(
     aMinion, [](const Run&) { return true; }, aNow);
+  const bool hasOpenGrant =
+    !aMinion.m_openStarts.empty() || (aMinion.m_failedCallSentAt != TimePoint{} &&
+                                      aNow - aMinion.m_failedCallSentAt <= kMaxOrderDelay);
+  if (hasOpenGrant) {
+    // A lease on the clock of the former incarnation is far longer on the new one's.
+    aMinion.m_leaseEnd =
+      std::max(aMinion.m_leaseEnd, aNow + Scaled(m_policy.m_maxGrantedLease, kClockSlowdown));
+  }
   m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_lastProcessedEnd = 0;
   aMinion.m_lastAcknowledgedEnd = 0;
--- a/tests/job/ClockStepTest.cpp
+++ b/tests/job/ClockStepTest.cpp
@@ -115,3 +115,24 @@
     CHECK(Decide().m_starts.size() == 1);
   }
 }
+
+TEST_CASE_FIXTURE(
+  ClockStepFixture,
+  "a lease on the former clock of a restarted minion does not outlast the owner's view")
+{
+  Register("a", 1);
+  Report("a", {}, {}, 1);
+  m_pool.OnLeaseExtensionFailed("a", m_now); // It may be carried out by the next incarnation.
+  Advance(Millis(500));
+  Report("a", {}, {}, 2);
+  Register("a", 2);
+  StartJob("j");
+  Advance(Millis(3'300));
+  m_pool.OnLeaseExtensionFailed("a", m_now);
+  AddMinion("b");
+  CHECK(Decide().m_starts.empty());
+  Advance(Millis(3'000));
+  m_pool.OnLeaseExtensionFailed("a", m_now);
+  Report("b", {}, {});
+  CHECK(Decide().m_starts.size() == 1);
+}
