--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -10,8 +10,15 @@
 
 /// Time after a takeover until a machine without a minion is assumed to have none.
 constexpr Millis kMinionDiscoveryTime{ 3'000 };
+/// Of a minion's clock, with a margin.
+constexpr double kClockSlowdown = 1.03;
 /// Margin on the expiry of leases, for timers that fire late.
 constexpr Millis kLeaseExpiryMargin{ 100 };
+/// Longest time after which an order without an answer is still carried out.
+constexpr Millis kMaxOrderDelay{ 15'000 };
+/// Longest time for which a long-running unit waits for such an order to a lost minion, because the
+/// unit has to run again soon.
+constexpr Millis kMaxLongRunningOrderWait{ 6'000 };
 
 /// Whether nothing would be lost with this incarnation of the minion: it has no runs, also none
 /// that this owner does not know, and no ends that it has not been told are stored.
@@ -21,6 +28,18 @@
          aMinion.m_lastAcknowledgedEnd >= aMinion.m_lastProcessedEnd;
 }
 
+/// Whether the unit waits until the start order cannot be carried out by the lost minion any more.
+bool MustWaitForOrder(const Run& aRun, TimePoint aNow)
+{
+  return !aRun.m_isLongRunning || aNow - aRun.m_orderedAt <= kMaxLongRunningOrderWait;
+}
+
+/// Whether nothing of this owner can run on the minion any more.
+bool IsUnused(const MinionState& aMinion, TimePoint aLeaseEnd, TimePoint aNow)
+{
+  return aMinion.m_runs.empty() && aMinion.m_openStarts.empty() && aNow > aLeaseEnd;
+}
+
 } // namespace
 
 void PoolScheduler::UpdateMinion(const MinionEntry& aEntry, TimePoint aNow)
@@ -31,13 +50,17 @@
     minion.m_isRegistered = false;
     return;
   }
-  const bool hasRestarted =
-    minion.m_entry.m_startedAtMs != 0 && aEntry.m_startedAtMs > minion.m_entry.m_startedAtMs;
-  if (hasRestarted) {
+  const std::int64_t knownStartMs = minion.m_entry.m_startedAtMs;
+  const bool isLater = knownStartMs != 0 && aEntry.m_startedAtMs > knownStartMs;
+  if (isLater && minion.m_reportedStartMs != 0) {
+    // Only its own answer shows that the runs have ended: the entry may be of another writer.
+    minion.m_isFenced = false;
+  } else if (isLater) {
     ResetRestartedMinion(minion, aEntry.m_startedAtMs, aNow);
   }
   m_crashHistory.OnIncarnation({ aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs }, aNow);
-  const std::int64_t startedAtMs = std::max(minion.m_entry.m_startedAtMs, aEntry.m_startedAtMs);
+  const std::int64_t startedAtMs =
+    minion.m_reportedStartMs != 0 ? knownStartMs : std::max(knownStartMs, aEntry.m_startedAtMs);
   minion.m_entry = aEntry;
   minion.m_entry.m_startedAtMs = startedAtMs;
   minion.m_isRegistered = true;
@@ -50,7 +73,26 @@
                                          TimePoint aNow)
 {
   RecordCrash(aMinion, aRestartedAtMs, aNow);
-  DropAllRuns(aMinion, aNow);
+  aMinion.m_formerStartsMs.insert(aMinion.m_entry.m_startedAtMs);
+  aMinion.m_formerStartsMs.erase(aRestartedAtMs);
+  aMinion.m_entry.m_startedAtMs = aRestartedAtMs;
+  for (auto& [key, start] : aMinion.m_openStarts) {
+    start.m_isRevoked = false;
+    start.m_lastStopAt = {};
+  }
+  for (auto& [name, run] : aMinion.m_runs) {
+    run.m_lastStopAt = {};
+  }
+  DropEndedRuns(
+    aMinion, [](const Run&) { return true; }, aNow);
+  const bool hasOpenGrant =
+    !aMinion.m_openStarts.empty() || (aMinion.m_failedCallSentAt != TimePoint{} &&
+                                      aNow - aMinion.m_failedCallSentAt <= kMaxOrderDelay);
+  if (hasOpenGrant) {
+    // A lease on the clock of the former incarnation is far longer on the new one's.
+    aMinion.m_leaseEnd =
+      std::max(aMinion.m_leaseEnd, aNow + Scaled(m_policy.m_maxGrantedLease, kClockSlowdown));
+  }
   m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_lastProcessedEnd = 0;
   aMinion.m_lastAcknowledgedEnd = 0;
@@ -65,7 +107,7 @@
     return;
   }
   found->second.m_isRegistered = false;
-  if (found->second.m_runs.empty() && aNow > found->second.m_leaseEnd && !m_awaited.contains(aId)) {
+  if (IsUnused(found->second, found->second.m_leaseEnd, aNow) && !m_awaited.contains(aId)) {
     m_minions.erase(found);
   }
 }
@@ -77,10 +119,12 @@
     const MinionEntry& entry = minion.m_entry;
     const bool isReplaced = id != aLatest.m_minion && entry.m_machine == aLatest.m_machine &&
                             !entry.m_machine.empty() && entry.m_startedAtMs != 0 &&
-                            entry.m_startedAtMs < aLatest.m_startedAtMs;
+                            entry.m_startedAtMs < aLatest.m_startedAtMs &&
+                            !(minion.m_isRegistered && entry.m_rowVersion > aLatest.m_rowVersion);
     if (isReplaced) {
       RecordCrash(minion, aLatest.m_startedAtMs, aNow);
       DropAllRuns(minion, aNow);
+      minion.m_openStarts.clear(); // Orders name the minion, so the later one refuses them.
       m_awaited.erase(id);
       minion.m_isRegistered = false;
       minion.m_leaseEnd = {};
@@ -146,7 +190,8 @@
 {
   std::vector<std::string> drained;
   for (auto& [id, minion] : m_minions) {
-    if (minion.IsLeaving() && !minion.m_isReleased && HasNoWork(minion)) {
+    if (minion.IsLeaving() && !minion.m_isReleased && HasNoWork(minion) &&
+        minion.m_openStarts.empty()) {
       minion.m_isReleased = true;
       minion.m_isRecorded = false;
       drained.push_back(id);
@@ -199,16 +244,20 @@
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
+    std::erase_if(minion.m_openStarts, [&](const auto& aStart) {
+      return aNow - aStart.second.m_orderedAt > kMaxOrderDelay;
+    });
     if (IsLost(minion, aNow)) {
-      if (!minion.IsLeaving()) {
+      if (!minion.IsLeaving() && !minion.m_areLossesCounted) {
         m_crashHistory.OnRunsLost(minion.m_entry, SuspectsOn(minion), aNow);
       }
-      DropAllRuns(minion, aNow);
+      minion.m_areLossesCounted = true;
+      DropEndedRuns(
+        minion, [&](const Run& aRun) { return MustWaitForOrder(aRun, aNow); }, aNow);
       m_awaited.erase(entry->first);
     }
-    const bool isUnused = minion.m_runs.empty() && !m_awaited.contains(entry->first) &&
-                          aNow > minion.m_leaseEnd + kLeaseExpiryMargin;
-    if (isUnused && !minion.m_isRegistered) {
+    if (IsUnused(minion, minion.m_leaseEnd + kLeaseExpiryMargin, aNow) &&
+        !m_awaited.contains(entry->first) && !minion.m_isRegistered) {
       entry = m_minions.erase(entry);
     } else {
       ++entry;
