Node: an odd entry among the minions names no minion

What happened here: the entry was taken for a minion. A value of 3 million open brackets took 190 MB of memory (399 MB as objects) and 1.07 s; a row of at most row_bytes is far smaller, so that a process did not end of this alone. Not UTF-8: refused before, too.

Cause: the decoder checked types but no ranges, and the parser had no bounds.

The directory logs an unreadable row once, for at most 100 ids, until it is readable again or the table is read anew.

--- a/src/node/MinionDirectory.cpp
+++ b/src/node/MinionDirectory.cpp
@@ -1,11 +1,14 @@
 #include "node/MinionDirectory.h"
 
-#include <set>
+#include "mustardtray/process/Log.h"
 
 namespace mustardtray::node {
 
 namespace {
 
+/// Unreadable rows beyond this number are not logged.
+constexpr std::size_t kMaxUnreadableKnown = 100;
+
 job::MachineIncarnation IncarnationOf(const job::MinionEntry& aEntry)
 {
   return { aEntry.m_machine, aEntry.m_id, aEntry.m_startedAtMs };
@@ -25,6 +28,7 @@
 void MinionDirectory::OnRows(const std::vector<platform::Row>& aRows, bool aIsComplete)
 {
   if (aIsComplete) {
+    m_unreadable.clear();
     std::set<std::string> absent;
     for (const auto& [id, entry] : m_minions) {
       absent.insert(id);
@@ -37,19 +41,41 @@
     }
   }
   for (const platform::Row& row : aRows) {
-    auto entry =
-      row.m_isDeleted ? std::nullopt : platform::DecodeMinionEntry(row.m_rowId.m_key, row.m_value);
-    if (entry) {
-      // Minions of other pools refuse what does not fit.
-      const job::PoolSpec* pool = m_context.m_deployment.FindPool(entry->m_pool);
-      if (pool && !pool->m_isGuarded) {
-        entry->m_outdatedAt = LeaseClockNow() + RegistrationValidity();
-      }
-      Add(*entry);
-    } else {
-      Remove(row.m_rowId.m_key);
+    const std::string& id = row.m_rowId.m_key;
+    if (row.m_isDeleted) {
+      m_unreadable.erase(id);
+      Remove(id);
+      continue;
+    }
+    auto entry = platform::DecodeMinionEntry(id, row.m_value);
+    if (!entry) {
+      LogUnreadable(id, entry.error());
+      Remove(id);
+      continue;
+    }
+    m_unreadable.erase(id);
+    // Minions of other pools refuse what does not fit.
+    const job::PoolSpec* pool = m_context.m_deployment.FindPool(entry.value().m_pool);
+    if (pool && !pool->m_isGuarded) {
+      entry.value().m_outdatedAt = LeaseClockNow() + RegistrationValidity();
     }
+    Add(entry.value());
+  }
+}
+
+void MinionDirectory::LogUnreadable(const std::string& aId, const Error& aError)
+{
+  // A writer may repeat its row with each heartbeat.
+  if (m_unreadable.size() >= kMaxUnreadableKnown || !m_unreadable.insert(aId).second) {
+    return;
   }
+  Log(LogCategory::Fleet,
+      LogLevel::Warning,
+      "minion-unreadable",
+      "minion",
+      aId,
+      "error",
+      aError.Text());
 }
 
 void MinionDirectory::Add(const job::MinionEntry& aEntry)
--- a/src/node/MinionDirectory.h
+++ b/src/node/MinionDirectory.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,11 +28,16 @@
   void NotifyOwner(PoolOwner& aOwner) const;
   /// Passes each owner on this node the minions of its shard.
   void NotifyAllOwners() const;
-  void Clear() { m_minions.clear(); }
+  void Clear()
+  {
+    m_minions.clear();
+    m_unreadable.clear();
+  }
 
 private:
   void Add(const job::MinionEntry& aEntry);
   void Remove(const std::string& aId);
+  void LogUnreadable(const std::string& aId, const Error& aError);
   /// How long a registration that has been read is taken for what the minion has.
   Millis RegistrationValidity() const;
   std::string ShardOf(const job::MinionEntry& aEntry) const;
@@ -40,6 +46,7 @@
   LocalOwner m_localOwner;
   IncarnationCallback m_onIncarnation;
   std::map<std::string, job::MinionEntry> m_minions;
+  std::set<std::string> m_unreadable; ///< Ids of rows that have been logged as unreadable.
 };
 
 } // namespace mustardtray::node
--- a/tests/node/MinionDirectoryTest.cpp
+++ b/tests/node/MinionDirectoryTest.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "node/TableFollower.h"
 #include "tests/node/NodeFixture.h"
 #include "tests/soak/RowStoreStandin.h"
 
@@ -67,14 +68,36 @@
   {
     platform::Row row;
     row.m_rowId = { platform::kMinionTable, "", kMinion };
-    row.m_value = fmt::format(
-      R"({{"service":"{}","address":"127.0.0.1:1","zone":"z","state":"ready","labels":[],)"
-      R"("capacity":{{"cpu":1,"mem_mb":1}},"born":1,"machine":"{}"}})",
-      kPool,
-      aMachine);
+    row.m_value = MakeEntry(aMachine);
     m_directory.OnRows({ row }, false);
   }
 
+  static std::string MakeEntry(const std::string& aMachine,
+                               const std::string& aAddress = "127.0.0.1:1",
+                               const std::string& aCpu = "1",
+                               const std::string& aOther = "0")
+  {
+    return fmt::format(R"({{"service":"{}","address":"{}","zone":"z","state":"ready","labels":[],)"
+                       R"("capacity":{{"cpu":{},"mem_mb":1}},"born":1,"machine":"{}","other":{}}})",
+                       kPool,
+                       aAddress,
+                       aCpu,
+                       aMachine,
+                       aOther);
+  }
+
+  /// What the owners know of the pool's minions: cores by id.
+  std::map<std::string, std::int64_t> KnownCpu() const
+  {
+    std::map<std::string, std::int64_t> cpu;
+    for (const auto& [shard, owner] : m_owners) {
+      for (const auto& [id, minion] : owner->Scheduler().Minions()) {
+        cpu[id] = minion.m_entry.m_capacity.m_cpu;
+      }
+    }
+    return cpu;
+  }
+
   bool Knows(const std::string& aShard) const
   {
     return m_owners.at(aShard)->Scheduler().Minions().contains(kMinion);
@@ -102,3 +125,69 @@
   CHECK_FALSE(fixture.Knows(shards[0]));
   CHECK(fixture.Knows(shards[1]));
 }
+
+TEST_CASE("an odd entry among the minions neither hides the others nor stops the follower")
+{
+  MinionDirectoryFixture fixture;
+  constexpr int kMinions = 5;
+  constexpr Millis kRoundTime{ 100 };
+  const auto entry = &MinionDirectoryFixture::MakeEntry;
+  const std::vector<std::string> oddEntries{
+    entry("m", "127.0.0.1:1", "1", std::string(60'000, '[')),
+    entry("m", "127.0.0.1:1", "1", std::string(30'000, '[') + std::string(30'000, ']')),
+    entry("m", "127.0.0.1:1", "1", "1e999"),
+    entry("m", "127.0.0.1:1", "1e300", "0"),
+    entry("m", "127.0.0.1:1", "9223372036854775807", "0"),
+    entry("m", "127.0.0.1:1", "18446744073709551615", "0"),
+    entry("m", "127.0.0.1:1", "-1", "0"),
+    entry("m", "127.0.0.1:99999", "1", "0"),
+    entry("m", "127.0.0.1:0", "1", "0"),
+    entry("m", "127.0.0.1:-1", "1", "0"),
+    entry("m", "127.0.0.1:x", "1", "0"),
+    entry("m", ":80", "1", "0"),
+    entry("m", "nowhere.invalid:80", "1", "0"),
+    entry("\xff", "127.0.0.1:1", "1", "0"),
+    entry(std::string(60'000, 'm'), "127.0.0.1:1", "1", "0"),
+    std::string("\0\0", 2),
+    "",
+    "null",
+  };
+  TableFollower follower(fixture.m_node.m_context,
+                         { platform::kMinionTable, true, Millis{ 1'000 }, Millis{ 10 } },
+                         [&](const std::vector<platform::Row>& aRows, bool aIsComplete) {
+                           fixture.m_directory.OnRows(aRows, aIsComplete);
+                         });
+  std::map<std::string, std::int64_t> expected;
+  for (std::size_t round = 0; round < oddEntries.size(); ++round) {
+    CAPTURE(oddEntries[round].substr(0, 200));
+    fixture.m_store.Put(platform::kMinionTable, fmt::format("a-odd-{}", round), oddEntries[round]);
+    for (int i = 0; i < kMinions; ++i) {
+      const std::string id = fmt::format("b-{}", i);
+      expected[id] = static_cast<std::int64_t>(round) + 1;
+      fixture.m_store.Put(platform::kMinionTable,
+                          id,
+                          entry("machine-" + id, "127.0.0.1:1", std::to_string(expected[id]), "0"));
+    }
+    fixture.m_io.run_for(kRoundTime);
+    CHECK(fixture.KnownCpu() == expected);
+  }
+  // The rows are read again as a whole.
+  fixture.m_directory.Clear();
+  TableFollower reader(fixture.m_node.m_context,
+                       { platform::kMinionTable, true, Millis{ 1'000 }, Millis{ 10 } },
+                       [&](const std::vector<platform::Row>& aRows, bool aIsComplete) {
+                         fixture.m_directory.OnRows(aRows, aIsComplete);
+                       });
+  fixture.m_io.run_for(kRoundTime);
+  CHECK(reader.IsUpToDate());
+  CHECK(fixture.KnownCpu() == expected);
+  // A minion whose own entry becomes odd is used no more, until it is readable again.
+  fixture.m_store.Put(platform::kMinionTable, "b-0", oddEntries[0]);
+  fixture.m_io.run_for(kRoundTime);
+  expected.erase("b-0");
+  CHECK(fixture.KnownCpu() == expected);
+  fixture.m_store.Put(platform::kMinionTable, "b-0", entry("machine-b-0", "127.0.0.1:1", "7", "0"));
+  fixture.m_io.run_for(kRoundTime);
+  expected["b-0"] = 7;
+  CHECK(fixture.KnownCpu() == expected);
+}
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -22,8 +22,8 @@
 {
   const auto entry = DecodeMinionEntry("i-1", kEntry);
   REQUIRE(entry);
-  CHECK(entry->Rack() == "r1-3");
-  CHECK(entry->m_machine == "m-1");
+  CHECK(entry.value().Rack() == "r1-3");
+  CHECK(entry.value().m_machine == "m-1");
   for (const std::string text : { "", "[]", "{}", "null" }) {
     CHECK_FALSE(DecodeMinionEntry("i-1", text));
   }
@@ -67,7 +67,7 @@
     for (int change = 0; change < 3; ++change) {
       broken[random() % broken.size()] = static_cast<char>(random());
     }
-    DecodeMinionEntry("i-1", broken);
+    CHECK_NOTHROW(static_cast<void>(DecodeMinionEntry("i-1", broken)));
     CHECK_FALSE(DecodeWave(broken));
     CHECK_FALSE(DecodeDeployment(broken));
     CHECK_FALSE(DecodeJobSpec(broken));
@@ -145,7 +145,7 @@
       }
     }
     CAPTURE(round);
-    CHECK_NOTHROW(DecodeMinionEntry("i-1", text));
+    CHECK_NOTHROW(static_cast<void>(DecodeMinionEntry("i-1", text)));
     CHECK_NOTHROW(static_cast<void>(DecodeDeployment(text)));
     CHECK_NOTHROW(static_cast<void>(DecodeWave(text)));
     CHECK_NOTHROW(static_cast<void>(DecodeJobSpec(text)));
