Platform: numbers out of range in answers, configurations and jobs are rejected

A body of 3 million open brackets took 226 MB of memory to refuse, more than a small node has.

Cause: unchecked conversions, and a parser without bounds.

Durations of a wave are rejected beyond the range and no longer shortened. A job is also refused when its last occurrence or the sum of its estimates is out of range. A clock that cannot be read counts as missing, as before for another type. A configuration is refused as a whole, so that the former one holds.

--- a/tests/platform/OddEntryTest.cpp
+++ b/tests/platform/OddEntryTest.cpp
@@ -1,4 +1,4 @@
-/// Rows that other software left among those of the minions.
+/// Rows and messages of other software with values that no minion, operator or caller means.
 
 #include <chrono>
 #include <fstream>
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "platform/Messages.h"
 #include "platform/MinionClient.h"
 
 using namespace mustardtray;
@@ -220,3 +221,72 @@
   }
   CHECK(minions > kRounds / 100);
 }
+
+TEST_CASE("a configuration or wave or job with a number out of range is refused as a whole")
+{
+  const auto config = [](const std::string& aVersion, const std::string& aField) {
+    return fmt::format(
+      R"({{"version":{},"routes":[{{"host":"h","prefix":"/a/","service":"s","name":"q"{}}}],)"
+      R"("services":[{{"name":"s"}}]}})",
+      aVersion,
+      aField);
+  };
+  const auto wave = [](const std::string& aNumber, const std::string& aCount) {
+    return fmt::format(
+      R"({{"wave":{},"machines":["m"],"duration_s":20.5,"max_count":{}}})", aNumber, aCount);
+  };
+  const auto jobBody = [](const std::string& aStepField, const std::string& aField) {
+    return R"({"spec":"s","steps":[{"count":1)" + aStepField + "}]" + aField + "}";
+  };
+  REQUIRE(DecodeDeployment(config("1", "")));
+  REQUIRE(DecodeWave(wave("1", "1")));
+  REQUIRE(DecodeJobSpec(jobBody("", "")));
+  for (const std::string number : { "-1",
+                                    "1e300",
+                                    "-1e300",
+                                    "1e999",
+                                    "18446744073709551615",
+                                    "99999999999999999999",
+                                    "true" }) {
+    CAPTURE(number);
+    CHECK_FALSE(DecodeDeployment(config(number, "")));
+    for (const std::string name : { "max_attempts", "target_duration_ms", "stretch" }) {
+      CAPTURE(name);
+      CHECK_FALSE(DecodeDeployment(config("1", fmt::format(R"(,"{}":{})", name, number))));
+    }
+    CHECK_FALSE(DecodeWave(wave(number, "1")));
+    CHECK_FALSE(DecodeWave(wave("1", number)));
+    for (const std::string name :
+         { "cpu", "mem_mb", "gpu", "estimate_ms", "target_ms", "max_per_server", "may_miss" }) {
+      CAPTURE(name);
+      CHECK_FALSE(DecodeJobSpec(jobBody(fmt::format(R"(,"{}":{})", name, number), "")));
+    }
+    for (const std::string name : { "repeat_count", "start_at_ms", "interval_ms" }) {
+      CAPTURE(name);
+      CHECK_FALSE(DecodeJobSpec(jobBody("", fmt::format(R"(,"{}":{})", name, number))));
+    }
+  }
+  CHECK_FALSE(DecodeWave(wave("1", "4294967296")));
+  CHECK_FALSE(DecodeWave(R"({"wave":1,"machines":["m"],"duration_s":1e300,"max_count":1})"));
+  CHECK_FALSE(DecodeWave(R"({"wave":1,"machines":["m"],"duration_s":-1,"max_count":1})"));
+  CHECK_FALSE(
+    DecodeJobSpec(R"({"spec":"s","steps":[{"count":1},{"count":1,"after":[-4294967296]}]})"));
+  CHECK_FALSE(DecodeJobSpec(R"({"spec":"s","steps":[{"count":1},{"count":1,"after":[1e300]}]})"));
+  // The due time of the last occurrence, and the sum of the estimates.
+  CHECK_FALSE(DecodeJobSpec(jobBody("", R"(,"repeat_count":4000000000,"interval_ms":9000000000)")));
+  std::string steps;
+  for (int i = 0; i < 1'000; ++i) {
+    steps += R"({"count":1,"estimate_ms":9000000000},)";
+  }
+  CHECK_FALSE(DecodeJobSpec(R"({"spec":"s","steps":[)" + steps + R"({"count":1}]})"));
+}
+
+TEST_CASE("a deeply nested job or configuration or wave costs no memory")
+{
+  constexpr std::size_t kLevels = 3'000'000;
+  constexpr std::size_t kMaxBytes = std::size_t{ 16 } << 20;
+  const std::string text = R"({"version":)" + std::string(kLevels, '[');
+  CHECK(PeakMemoryOf([&] { CHECK_FALSE(DecodeDeployment(text)); }) < kMaxBytes);
+  CHECK(PeakMemoryOf([&] { CHECK_FALSE(DecodeWave(text)); }) < kMaxBytes);
+  CHECK(PeakMemoryOf([&] { CHECK_FALSE(DecodeJobSpec(text)); }) < kMaxBytes);
+}
--- a/tests/platform/OddListTest.cpp
+++ b/tests/platform/OddListTest.cpp
@@ -1,4 +1,4 @@
-/// Lists in which one element cannot be read.
+/// Lists in which one element cannot be read, and odd answers.
 
 #include <asio/io_context.hpp>
 #include <doctest/doctest.h>
@@ -6,6 +6,7 @@
 
 #include "platform/Base64.h"
 #include "platform/MachineClient.h"
+#include "platform/MinionClient.h"
 #include "platform/StoreClient.h"
 #include "standin/StandinServer.h"
 
@@ -227,3 +228,44 @@
   });
   listing.Await(isDone);
 }
+
+TEST_CASE("an odd answer of a minion is an error or counts without its clock")
+{
+  const std::string deep = std::string(kDeep, '[') + std::string(kDeep, ']');
+  for (const std::string number : { "1e300", "-1e300", "18446744073709551615", "1e999" }) {
+    CAPTURE(number);
+    FixedServer server(200, R"({"clock_ms":)" + number + "}");
+    MinionClient client(server.m_http, {});
+    bool isDone = false;
+    client.Start(
+      { server.Address().Text(), "i", 1 }, {}, 1, kTimeout, [&](OrderResponse aResponse) {
+        isDone = true;
+        CHECK(aResponse.m_result == job::OrderResult::Started);
+        CHECK(aResponse.m_clockMs == 0);
+      });
+    server.Await(isDone);
+  }
+  for (const std::string body :
+       { R"({"clock_ms":1e300,"running":[],"ended":[]})",
+         R"({"clock_ms":1,"born":1e300,"running":[],"ended":[]})",
+         R"({"clock_ms":1,"running":[["u",4294967297,"",0]],"ended":[]})",
+         R"({"clock_ms":1,"running":[["u",-1,"",0]],"ended":[]})",
+         R"({"clock_ms":1,"running":[],"ended":[[-1,"u",1,"done",""]]})",
+         R"({"clock_ms":1,"running":[],"ended":[[1e300,"u",1,"done",""]]})",
+         R"({"clock_ms":1,"running":)" }) {
+    for (const std::string& text : { std::string(body), body + deep + R"(,"ended":[]})" }) {
+      CAPTURE(text.substr(0, 200));
+      FixedServer server(200, text);
+      MinionClient client(server.m_http, {});
+      bool isDone = false;
+      client.Hold({ server.Address().Text(), "i", 1 },
+                  {},
+                  kTimeout,
+                  [&](const Result<job::LeaseReport>& aReport) {
+                    isDone = true;
+                    CHECK_FALSE(aReport);
+                  });
+      server.Await(isDone);
+    }
+  }
+}
