Job: a deeply nested state of a job does not end the process

What callers could see: a progress row whose state is nested 500,000 levels ended the owner of its pool. Cause: the value was copied before its type was checked, and the copy recurses.

--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -119,9 +119,11 @@
     return JobState::Queued;
   }
   const json in = json::parse(aText, nullptr, false);
-  const json state = in.is_object() ? in.value("state", json{}) : json{};
-  const auto known =
-    state.is_string() ? FromName<JobState>(state.get<std::string>()) : std::nullopt;
+  // Not copied: the copy of a deeply nested value recurses.
+  const auto state = in.find("state");
+  const auto known = state != in.end() && state->is_string()
+                       ? FromName<JobState>(state->get<std::string>())
+                       : std::nullopt;
   if (!known) {
     return Error{ ErrorKind::Invalid, "decode job progress", "", "state is missing or unknown" };
   }
