--- a/standin/StandinServer.cpp
+++ b/standin/StandinServer.cpp
@@ -128,6 +128,13 @@
     }
   }
 
+  void Reset() override
+  {
+    if (std::exchange(m_isAwaitingResponse, false)) {
+      Disconnect(true);
+    }
+  }
+
   void Disconnect(bool aReset)
   {
     m_isAwaitingResponse = false;
--- a/standin/StandinServer.h
+++ b/standin/StandinServer.h
@@ -31,6 +31,8 @@
   virtual void SendTruncatedResponse(const HttpResponse& aResponse, bool aReset) = 0;
   /// Closes the connection without a response.
   virtual void Close() = 0;
+  /// Resets the connection without a response.
+  virtual void Reset() = 0;
 };
 
 using StandinHandler = std::function<void(std::shared_ptr<StandinExchange>)>;
--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -78,6 +78,15 @@
                                     const std::string& aIncarnation)
 {
   const std::string name = aUnit.Text();
+  Log(LogCategory::Process,
+      LogLevel::Info,
+      "run-started",
+      "unit",
+      name,
+      "run",
+      aRun,
+      "incarnation",
+      aIncarnation);
   const auto job = m_jobs.find(aUnit.m_job);
   if (job == m_jobs.end() || aUnit.m_step >= job->second.m_spec.m_steps.size()) {
     ReportViolation("started a work unit that no caller submitted: " + name);
@@ -113,6 +122,15 @@
                                   job::RunOutcome aOutcome,
                                   const std::string& aIncarnation)
 {
+  Log(LogCategory::Process,
+      LogLevel::Info,
+      "run-ended",
+      "unit",
+      aUnit.Text(),
+      "outcome",
+      ToName(aOutcome),
+      "incarnation",
+      aIncarnation);
   UnitRecord& unit = m_units[aUnit.Text()];
   unit.m_incarnations.erase(aIncarnation);
   unit.m_failures += aOutcome == job::RunOutcome::Failed ? 1 : 0;
@@ -124,6 +142,15 @@
                                             std::uint32_t aRun,
                                             job::RunOutcome aOutcome)
 {
+  Log(LogCategory::Process,
+      LogLevel::Info,
+      "run-end-acknowledged",
+      "unit",
+      aUnit.Text(),
+      "run",
+      aRun,
+      "outcome",
+      ToName(aOutcome));
   UnitRecord& unit = m_units[aUnit.Text()];
   if (aOutcome == job::RunOutcome::Done) {
     unit.m_isDoneAcknowledged = true;
--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -97,8 +97,9 @@
   Incarnation& incarnation = *aMachine.m_incarnation;
   incarnation.m_id =
     aId.empty() ? fmt::format("i-{}-{}", aMachine.m_name, ++m_incarnationCount) : aId;
+  const auto timeOfDay = std::chrono::system_clock::now() + aMachine.m_clockStep;
   incarnation.m_startTimeMs =
-    std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::chrono::duration_cast<Millis>(timeOfDay.time_since_epoch()).count();
   incarnation.m_startedAt = Now();
   incarnation.m_cpu = aMachine.m_cpu;
   static_cast<void>(aMachine.m_server->Listen());
@@ -303,29 +304,48 @@
     return;
   }
   const HttpRequest& request = aExchange->Request();
-  const std::string* instance = request.Header("Expect-Instance");
-  if (!aMachine.m_incarnation || (instance && *instance != aMachine.m_incarnation->m_id)) {
-    SendError(*aExchange, kMisdirected, "another life");
+  const auto fault =
+    m_orderFaults ? m_orderFaults->Draw(aMachine.m_name, request.m_path) : std::nullopt;
+  if (fault) {
+    ApplyOrderFault(aMachine, aExchange, *fault);
     return;
   }
+  const HttpResponse response = CarryOut(aMachine, request);
   const Json body = Json::parse(request.m_body, nullptr, false);
+  const Millis wait(body.value("wait_ms", Millis::rep{ 0 }));
+  const bool waits = request.m_path == "/-/hold" && response.m_status == 200 && wait.count() > 0 &&
+                     aMachine.m_incarnation->m_runEnds.empty();
+  if (waits) {
+    ReportEndLater(aMachine, aExchange, wait);
+  } else {
+    aExchange->SendResponse(response);
+  }
+}
+
+HttpResponse MachineStandin::CarryOut(Machine& aMachine, const HttpRequest& aRequest)
+{
+  const std::string* instance = aRequest.Header("Expect-Instance");
+  if (!aMachine.m_incarnation || (instance && *instance != aMachine.m_incarnation->m_id)) {
+    return JsonResponse(kMisdirected, Json{ { "error", "another life" } }.dump());
+  }
+  const Json body = Json::parse(aRequest.m_body, nullptr, false);
   Incarnation& incarnation = *aMachine.m_incarnation;
   const auto token = body.value("fencing_token", std::uint64_t{ 0 });
   if (token < incarnation.m_fencingToken) {
-    SendJson(
-      *aExchange, kConflict, { { "clock_ms", ClockMs(incarnation) }, { "reason", "fence" } });
-    return;
+    return JsonResponse(kConflict,
+                        Json{ { "clock_ms", ClockMs(incarnation) }, { "reason", "fence" } }.dump());
   }
   incarnation.m_fencingToken = token;
-  if (request.m_path == "/-/run-start") {
-    aExchange->SendResponse(StartRun(aMachine, body));
-  } else if (request.m_path == "/-/run-stop") {
-    aExchange->SendResponse(StopRun(aMachine, body));
-  } else if (request.m_path == "/-/hold") {
-    ExtendLease(aMachine, body, aExchange);
-  } else {
-    SendJson(*aExchange, 200, { { "clock_ms", ClockMs(incarnation) } });
+  if (aRequest.m_path == "/-/run-start") {
+    return StartRun(aMachine, body);
+  }
+  if (aRequest.m_path == "/-/run-stop") {
+    return StopRun(aMachine, body);
+  }
+  if (aRequest.m_path == "/-/hold") {
+    return ExtendLease(aMachine, body);
   }
+  return JsonResponse(200, Json{ { "clock_ms", ClockMs(incarnation) } }.dump());
 }
 
 HttpResponse MachineStandin::StartRun(Machine& aMachine, const Json& aBody)
@@ -411,9 +431,7 @@
   return JsonResponse(200, Json{ { "clock_ms", ClockMs(incarnation) } }.dump());
 }
 
-void MachineStandin::ExtendLease(Machine& aMachine,
-                                 const Json& aBody,
-                                 const std::shared_ptr<StandinExchange>& aExchange)
+HttpResponse MachineStandin::ExtendLease(Machine& aMachine, const Json& aBody)
 {
   Incarnation& incarnation = *aMachine.m_incarnation;
   const std::int64_t clockMs = ClockMs(incarnation);
@@ -430,14 +448,16 @@
     }
     incarnation.m_runEnds.pop_front();
   }
-  const Millis wait(aBody.value("wait_ms", Millis::rep{ 0 }));
-  if (wait.count() == 0 || !incarnation.m_runEnds.empty()) {
-    aExchange->SendResponse(MakeLeaseReport(aMachine));
-    return;
-  }
+  return MakeLeaseReport(aMachine);
+}
+
+void MachineStandin::ReportEndLater(Machine& aMachine,
+                                    const std::shared_ptr<StandinExchange>& aExchange,
+                                    Millis aWait)
+{
   const auto entry =
     aMachine.m_pendingLeaseReports.insert(aMachine.m_pendingLeaseReports.end(), { aExchange, {} });
-  entry->m_timeout = m_timers.After(wait, [this, &aMachine, entry] {
+  entry->m_timeout = m_timers.After(aWait, [this, &aMachine, entry] {
     const auto exchange = entry->m_exchange;
     aMachine.m_pendingLeaseReports.erase(entry);
     if (aMachine.m_incarnation && Now() >= aMachine.m_hangsUntil) {
--- a/tests/soak/MachineStandin.h
+++ b/tests/soak/MachineStandin.h
@@ -13,6 +13,7 @@
 
 #include "standin/StandinServer.h"
 #include "tests/soak/GuaranteeChecker.h"
+#include "tests/soak/OrderFaults.h"
 #include "tests/soak/RowStoreStandin.h"
 
 namespace mustardtray::soak {
@@ -52,6 +53,14 @@
   void Crash(const std::string& aName, Millis aDuration, bool aKeepsId);
   /// The minion does not respond for aDuration. Its work units continue to run.
   void Hang(const std::string& aName, Millis aDuration);
+  /// Requests to minions get these faults.
+  void SetOrderFaults(OrderFaults* aFaults);
+  /// The machine's time of day is off by aStep, which shows in the start times of its next
+  /// incarnations.
+  void StepClock(const std::string& aName, Millis aStep);
+  void ResetConnections(const std::string& aName);
+  /// Machines that are up and have a start that is still to be carried out late.
+  std::vector<std::string> MachinesWithLateStarts() const;
   /// Starts a wave in which each of the machines needs maintenance once.
   void StartWave(std::uint64_t aNumber,
                  const std::vector<std::string>& aMachines,
@@ -114,6 +123,8 @@
     std::unique_ptr<Incarnation>
       m_incarnation; ///< Null while the machine is unavailable or in the spare pool.
     TimePoint m_hangsUntil{};
+    Millis m_clockStep{ 0 };
+    std::size_t m_lateStartCount = 0;
     std::list<PendingLeaseReport> m_pendingLeaseReports;
     TimerHandle m_returnTimer;
     // The latest order that the cloud API received.
@@ -123,11 +134,19 @@
   };
 
   void HandleMinionRequest(Machine& aMachine, const std::shared_ptr<StandinExchange>& aExchange);
+  /// Applies what a minion checks and does at the arrival of any request. A wait for an end is not
+  /// part of it.
+  HttpResponse CarryOut(Machine& aMachine, const HttpRequest& aRequest);
+  void ApplyOrderFault(Machine& aMachine,
+                       const std::shared_ptr<StandinExchange>& aExchange,
+                       const OrderFault& aFault);
   HttpResponse StartRun(Machine& aMachine, const Json& aBody);
   HttpResponse StopRun(Machine& aMachine, const Json& aBody);
-  void ExtendLease(Machine& aMachine,
-                   const Json& aBody,
-                   const std::shared_ptr<StandinExchange>& aExchange);
+  HttpResponse ExtendLease(Machine& aMachine, const Json& aBody);
+  /// Responds with a lease report as soon as a run ends, or after aWait.
+  void ReportEndLater(Machine& aMachine,
+                      const std::shared_ptr<StandinExchange>& aExchange,
+                      Millis aWait);
   HttpResponse MakeLeaseReport(const Machine& aMachine) const;
   void Tick();
   void EndRun(Machine& aMachine, const std::string& aUnit, job::RunOutcome aOutcome);
@@ -161,6 +180,8 @@
   bool m_keepsRegistrations = false;
   std::map<std::string, TimerHandle> m_expiryTimers; ///< By ID of a minion that crashed.
   std::list<TimerHandle> m_crashTimers;
+  OrderFaults* m_orderFaults = nullptr;
+  std::list<TimerHandle> m_lateOrderTimers;
   std::uint64_t m_incarnationCount = 0;
   TimerHandle m_tickTimer;
   TimerHandle m_heartbeatTimer;
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -81,6 +81,9 @@
     "calm", "inject no faults")("series",
                                 "do planned work in overlapping series; with --calm nothing else")(
     "keep-logs", "keep the logs of runs without violations too")(
+    "log", "log what the stand-ins do to standard output")(
+    "late-orders",
+    "orders to minions are carried out late or refused, and minions restart under their IDs")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
   mustardtray::soak::SoakOptions soakOptions;
@@ -98,8 +101,12 @@
     soakOptions.m_faultDuration = mustardtray::Millis(parsed["seconds"].as<int>() * 1'000);
     soakOptions.m_injectsFaults = parsed.count("calm") == 0;
     keepsLogs = parsed.count("keep-logs") > 0;
+    if (parsed.count("log") > 0) {
+      mustardtray::StartLogging(mustardtray::LogLevel::Info, "soak");
+    }
     soakOptions.m_machinesPerPool = parsed["machines"].as<std::size_t>();
     soakOptions.m_hasPlannedWork = parsed.count("series") > 0;
+    soakOptions.m_hasLateOrders = parsed.count("late-orders") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
       seeds = parsed["seeds"].as<std::vector<std::uint64_t>>();
@@ -116,6 +123,7 @@
   for (const std::uint64_t seed : seeds) {
     failed += RunSeed(seed, soakOptions, keepsLogs) ? 0 : 1;
   }
+  mustardtray::StopLogging();
   std::cout << fmt::format("{} passed, {} failed\n", seeds.size() - failed, failed);
   return failed == 0 ? kExitSuccess : kExitFailure;
 }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -58,6 +58,8 @@
   , m_random(m_options.m_seed)
   , m_connectionRandom(m_options.m_seed)
   , m_plannedRandom(m_options.m_seed)
+  , m_orderRandom(m_options.m_seed)
+  , m_orderFaults(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
   WriteConfiguration();
@@ -202,6 +204,9 @@
     if (m_options.m_injectsFaults) {
       InjectFault();
     }
+    if (m_options.m_hasLateOrders) {
+      StartOrderFaults();
+    }
     m_phaseTimer = m_timers.After(m_options.m_faultDuration, [this] { EndFaults(); });
   });
   m_context.run();
@@ -302,6 +307,7 @@
 {
   m_faultTimer.Cancel();
   m_delayTimers.clear();
+  EndOrderFaults();
   m_storeHealTimer.Cancel();
   m_store.SetFault(StoreFault::None);
   for (auto& [name, node] : m_nodes) {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -40,6 +40,7 @@
   Millis m_faultDuration{ 12'000 };
   bool m_injectsFaults = true;
   bool m_hasPlannedWork = false; ///< Overlapping series of planned work all the time.
+  bool m_hasLateOrders = false;  ///< Orders to minions are late or refused; minions restart.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -89,6 +90,16 @@
   void InjectStoreFault();
   void InjectMachineFault();
   void ChangeCapacity(const std::string& aMachine);
+  /// Begins faults of orders to minions that go on until the faults end.
+  void StartOrderFaults();
+  void ChangeOrderFaults();
+  void InjectOrderFault();
+  /// Restarts a minion under its ID, with a start that is still to be carried out if there is one.
+  void RestartMinion();
+  void EndClockSteps();
+  void EndOrderFaults();
+  std::set<std::string> DrawMachines(int aPercent);
+  int DrawOrderFault(int aMin, int aMax);
   /// Sends signals and changes the configuration and the settings while earlier ones take effect.
   void StartPlannedSeries();
   /// Begins series of restarts, SIGHUP, configurations and waves that go on until the faults end.
@@ -136,6 +147,8 @@
   /// Separate, so that the pace of requests does not change the faults of a seed.
   std::mt19937_64 m_connectionRandom;
   std::mt19937_64 m_plannedRandom;
+  std::mt19937_64 m_orderRandom;
+  OrderFaults m_orderFaults;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   GuaranteeChecker m_checker;
@@ -158,6 +171,8 @@
   TimePoint m_watchedAt{};
   std::vector<std::pair<TimePoint, Micros>> m_holdUps; ///< Ends and durations.
   TimerHandle m_faultTimer;
+  TimerHandle m_orderFaultsTimer;
+  TimerHandle m_orderFaultTimer;
   TimerHandle m_storeHealTimer;
   TimerHandle m_phaseTimer;
   TimerHandle m_endCheckTimer;
