Soak: clock steps of machines as an option of their own

A minion that restarts while its machine's time of day has stepped back has an earlier start time than the incarnation before.

--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -84,6 +84,7 @@
     "log", "log what the stand-ins do to standard output")(
     "late-orders",
     "orders to minions are carried out late or refused, and minions restart under their IDs")(
+    "clock-steps", "the time of day of machines steps and steps back")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
   mustardtray::soak::SoakOptions soakOptions;
@@ -107,6 +108,7 @@
     soakOptions.m_machinesPerPool = parsed["machines"].as<std::size_t>();
     soakOptions.m_hasPlannedWork = parsed.count("series") > 0;
     soakOptions.m_hasLateOrders = parsed.count("late-orders") > 0;
+    soakOptions.m_hasClockSteps = parsed.count("clock-steps") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
       seeds = parsed["seeds"].as<std::vector<std::uint64_t>>();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -59,6 +59,7 @@
   , m_connectionRandom(m_options.m_seed)
   , m_plannedRandom(m_options.m_seed)
   , m_orderRandom(m_options.m_seed)
+  , m_clockRandom(m_options.m_seed)
   , m_orderFaults(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
@@ -207,6 +208,9 @@
     if (m_options.m_hasLateOrders) {
       StartOrderFaults();
     }
+    if (m_options.m_hasClockSteps) {
+      StepClocks();
+    }
     m_phaseTimer = m_timers.After(m_options.m_faultDuration, [this] { EndFaults(); });
   });
   m_context.run();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -41,6 +41,7 @@
   bool m_injectsFaults = true;
   bool m_hasPlannedWork = false; ///< Overlapping series of planned work all the time.
   bool m_hasLateOrders = false;  ///< Orders to minions are late or refused; minions restart.
+  bool m_hasClockSteps = false;  ///< The time of day of machines steps and steps back.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -94,8 +95,11 @@
   void StartOrderFaults();
   void ChangeOrderFaults();
   void InjectOrderFault();
-  /// Restarts a minion under its ID, with a start that is still to be carried out if there is one.
+  /// Restarts a minion, mostly under its ID, with a start that is still to be carried out if there
+  /// is one.
   void RestartMinion();
+  /// Some machines have another time of day until the next step.
+  void StepClocks();
   void EndClockSteps();
   void EndOrderFaults();
   std::set<std::string> DrawMachines(int aPercent);
@@ -148,6 +152,7 @@
   std::mt19937_64 m_connectionRandom;
   std::mt19937_64 m_plannedRandom;
   std::mt19937_64 m_orderRandom;
+  std::mt19937_64 m_clockRandom;
   OrderFaults m_orderFaults;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
@@ -173,6 +178,7 @@
   TimerHandle m_faultTimer;
   TimerHandle m_orderFaultsTimer;
   TimerHandle m_orderFaultTimer;
+  TimerHandle m_clockTimer;
   TimerHandle m_storeHealTimer;
   TimerHandle m_phaseTimer;
   TimerHandle m_endCheckTimer;
