Job: a machine stays cordoned while the order to move it is under way

Work that had just been placed could be lost: a pending move counted as stale 1.5 s after it began, even when its order had been sent and not answered. The next plan did not cordon the machine, its owner gave it work, and the order, which may take another 1.5 s, ended it.

A move whose order is under way is not stale unless its machine is gone. The test failed before: the machine was not cordoned 200 ms after its order was sent. Open: after an order without an answer the cordon still ends at once.

--- a/src/job/FleetPlannerMoves.cpp
+++ b/src/job/FleetPlannerMoves.cpp
@@ -205,9 +205,11 @@
   for (auto pendingMove = m_pendingMoves.begin(); pendingMove != m_pendingMoves.end();) {
     const auto& [name, move] = *pendingMove;
     const auto machine = m_machines.find(name);
-    const bool isStale = machine == m_machines.end() || ShardOf(machine->second) != move.m_from ||
-                         !IsUsable(machine->second, aNow) ||
-                         m_maintenanceCandidates.contains(name) || aNow - move.m_at > kMoveTimeout;
+    const bool isStale =
+      machine == m_machines.end() ||
+      (!m_inFlight.contains(name) &&
+       (ShardOf(machine->second) != move.m_from || !IsUsable(machine->second, aNow) ||
+        m_maintenanceCandidates.contains(name) || aNow - move.m_at > kMoveTimeout));
     if (isStale) {
       pendingMove = m_pendingMoves.erase(pendingMove);
       continue;
--- a/tests/job/FleetPlannerTest.cpp
+++ b/tests/job/FleetPlannerTest.cpp
@@ -309,3 +309,30 @@
   REQUIRE(plan.m_orders.size() == 1);
   CHECK(plan.m_orders[0].m_pool == "hot");
 }
+
+TEST_CASE("a machine stays cordoned while the order to move it is under way")
+{
+  FleetFixture fixture;
+  const auto plan = [&] {
+    return fixture.m_planner.Plan(fixture.m_deployment, fixture.m_shards, fixture.m_now);
+  };
+  const auto report = [&](std::vector<std::string> aIdle, std::set<std::string> aDrained) {
+    fixture.Report("hot", 200, {});
+    PoolReport cold;
+    cold.m_load.m_capacityCpu = 64'000;
+    cold.m_idle = std::move(aIdle);
+    cold.m_drained = std::move(aDrained);
+    cold.m_reportedAt = fixture.m_now;
+    fixture.m_planner.SetReport("cold", std::move(cold));
+  };
+  report({ "cold0" }, {});
+  REQUIRE(plan().m_restrictions["cold"].m_cordoned.contains("cold0"));
+  fixture.m_now += Millis(1'400);
+  report({}, { "cold0" });
+  for (const MachineOrder& order : plan().m_orders) {
+    fixture.m_planner.OnOrderSent(order);
+  }
+  fixture.m_now += Millis(200);
+  report({}, { "cold0" });
+  CHECK(plan().m_restrictions["cold"].m_cordoned.contains("cold0"));
+}
