Job: a run that a new incarnation has started is not dropped with its former incarnation

Callers could see two runs of one unit at the same time. A minion restarts; the owner's hold reaches the new incarnation first, a start right after it, and the answer to the start is read before the older list. The restart was then taken as the end of that run, too, and the unit started elsewhere.

Runs that were confirmed after the hold was sent now count as starts without an answer: they are stopped at the new incarnation before the unit starts elsewhere.

--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -111,6 +111,12 @@
   const std::int64_t knownStartMs = minion.m_entry.m_startedAtMs;
   if (aReport.m_startedAtMs != 0 && aReport.m_startedAtMs != knownStartMs) {
     if (knownStartMs != 0) {
+      // The new incarnation may have carried out starts that were answered after this call.
+      for (const auto& [name, run] : minion.m_runs) {
+        if (run.m_confirmedAt >= aAskedAt) {
+          minion.m_openStarts[{ name, run.m_run }] = { run.m_orderedAt, {}, false };
+        }
+      }
       ResetRestartedMinion(minion, aReport.m_startedAtMs, aNow);
     }
     minion.m_entry.m_startedAtMs = aReport.m_startedAtMs;
