Known red: a new owner does not know the starts without an answer of the former one

A start without an answer is known to its owner alone, so after a handover the unit of a lost minion starts elsewhere, and the minion's next incarnation may carry the order out.

--- a/tests/job/LateOrderTest.cpp
+++ b/tests/job/LateOrderTest.cpp
@@ -180,3 +180,48 @@
   fixture.Report("b", {}, {});
   CHECK(fixture.Decide().m_starts.size() == 1);
 }
+
+TEST_CASE("a run that a new incarnation has started is not dropped with its former incarnation")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a");
+  fixture.Advance(Millis(100));
+  const TimePoint askedAt =
+    fixture.m_now; // The minion has restarted before, and the start follows.
+  fixture.m_pool.AddJob(MakeJob("j", 1), fixture.m_now, false);
+  REQUIRE(fixture.StartAll().size() == 1);
+  fixture.AddMinion("b");
+  fixture.Advance(Millis(5));
+  fixture.m_pool.OnLeaseReport("a", { 5, kRestartedAtMs, {}, {} }, askedAt, fixture.m_now);
+  CHECK(fixture.Decide().m_starts.empty());
+}
+
+TEST_CASE("a new owner does not start a unit whose start at a lost minion may still be carried out")
+{
+  LateOrderFixture first;
+  const JobRecord record = first.m_pool.FindJob("j")->m_record;
+  first.LoseAnswer();
+  first.Decide();
+  first.Advance(Millis(3'200));
+  first.m_pool.OnLeaseExtensionFailed("a", first.m_now);
+  REQUIRE(first.Decide().m_starts.empty());
+  REQUIRE(first.m_pool.EndLeasesOfUnresponsive().size() == 1);
+
+  PoolFixture next;
+  next.m_now = first.m_now;
+  PoolScheduler pool{ PoolPolicy{}, next.m_now };
+  pool.SetEpoch(1);
+  pool.AwaitMinion("a", next.m_now); // The leases of the former owner have ended.
+  MinionState& lost = pool.Minions()["a"];
+  lost.m_entry = MakeMinion("a");
+  lost.m_isRegistered = false;
+  lost.m_leaseEnd = next.m_now;
+  REQUIRE(pool.LoadJob(record, "", next.m_now, next.m_wallNow).has_value());
+  next.Advance(Millis(500));
+  pool.OnLeaseExtensionFailed("a", next.m_now);
+  pool.UpdateMinion(MakeMinion("b"), next.m_now);
+  pool.Minions().at("b").m_isRecorded = true;
+  pool.OnLeaseReport("b", { 1'000, 1, {}, {} }, next.m_now, next.m_now);
+  pool.Decide(next.m_now, next.m_wallNow);
+  CHECK(pool.TakeOrders().m_starts.empty());
+}
