--- a/review/standin/Minion.cpp
+++ b/review/standin/Minion.cpp
@@ -139,6 +139,9 @@
   m_fencingToken = token;
   if (request.m_path == "/-/hold") {
     Hold(aExchange, body);
+  } else if (request.m_path == "/-/run-start" && m_onStartOrder &&
+             m_onStartOrder(body.at("task").get<std::string>())) {
+    aExchange->Close();
   } else if (request.m_path == "/-/run-start") {
     aExchange->SendResponse(StartRun(body));
   } else if (request.m_path == "/-/run-stop") {
@@ -202,11 +205,7 @@
   run.m_saved = aBody.value("saved", std::string{});
   run.m_record = &m_ledger.Add({ unit, number, LifeName(), MonotonicNow(), {}, {}, false, false });
   m_runs.emplace(unit, run);
-  HttpResponse response = answer(200, "");
-  if (m_onStart) {
-    m_onStart(unit);
-  }
-  return response;
+  return answer(200, "");
 }
 
 HttpResponse Minion::StopRun(const Json& aBody)
--- a/review/standin/Minion.h
+++ b/review/standin/Minion.h
@@ -47,10 +47,10 @@
 
   /// An unhealthy minion refuses starts with this status; 0 carries them out.
   void RefuseStarts(int aStatus) { m_refusalStatus = aStatus; }
-  /// Called when a run has begun.
-  void OnStart(std::function<void(const std::string& aUnit)> aCallback)
+  /// Called when a start order arrives. If it returns true, the order is not carried out.
+  void OnStartOrder(std::function<bool(const std::string& aUnit)> aCallback)
   {
-    m_onStart = std::move(aCallback);
+    m_onStartOrder = std::move(aCallback);
   }
   /// Ends the minion at once. It is back under its id after that time.
   void Crash(Millis aDownTime);
@@ -103,7 +103,7 @@
   StandinServer m_server;
   bool m_isUp = false;
   int m_refusalStatus = 0;
-  std::function<void(const std::string&)> m_onStart;
+  std::function<bool(const std::string&)> m_onStartOrder;
   std::int64_t m_bornMs = 0;
   TimePoint m_bornAt{};
   std::uint64_t m_sequence = 0;
