--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -101,7 +101,7 @@
   }
   world.Log().Write("the store refused {} transactions", world.Gate().RefusedRows());
   if (accepted.empty()) {
-    violation = "no small job was accepted";
+    return kCouldNotRun;
   }
   return world.Finish(violation);
 }
