Job: a run that a cut list of ends does not name keeps its unit

Callers saw units run a second time after they had ended done (TWICE). A minion lists 500 ends at a time. When more had ended, such as behind a frozen owner or after a takeover, the owner took the others for lost, because they were neither among the running nor among the ended, and started them again milliseconds after their end.

A report with as many ends as one list can have now counts as cut. No run is given up for such a report, inherited jobs go on waiting for the minion, its machine does not count as drained, and it is called again without a wait. The following reports list the other ends, since those before them have been acknowledged, so each run is judged by a list that is complete.

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -136,6 +136,8 @@
   std::int64_t m_startedAtMs = 0;
   std::vector<ListedRun> m_running;
   std::vector<ListedEnd> m_ended;
+  /// Later reports list further ends, so a run that is not listed may have ended.
+  bool m_hasMoreEnds = false;
 };
 
 } // namespace mustardtray::job
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -144,6 +144,7 @@
   TimePoint m_leaseEnd{};               ///< Latest time at which its runs can still hold a lease.
   std::uint64_t m_lastProcessedEnd = 0; ///< Ends up to this number have been processed.
   std::uint64_t m_lastAcknowledgedEnd = 0; ///< Ends up to this number have been acknowledged.
+  bool m_hasMoreEnds = false;              ///< Its latest report did not list all ends.
   int m_consecutiveFailures = 0;           ///< Failures of different jobs since the last success.
   int m_missedCalls = 0;                   ///< Consecutive calls without an answer.
   TimePoint m_failedCallSentAt{}; ///< When the latest lease extension without an answer was sent.
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -24,7 +24,7 @@
 /// that this owner does not know, and no ends that it has not been told are stored.
 bool HasNoWork(const MinionState& aMinion)
 {
-  return aMinion.m_isFenced && aMinion.m_runs.empty() &&
+  return aMinion.m_isFenced && aMinion.m_runs.empty() && !aMinion.m_hasMoreEnds &&
          aMinion.m_lastAcknowledgedEnd >= aMinion.m_lastProcessedEnd;
 }
 
@@ -96,6 +96,7 @@
   m_advice.ForgetMinion(aMinion.m_entry.m_id);
   aMinion.m_lastProcessedEnd = 0;
   aMinion.m_lastAcknowledgedEnd = 0;
+  aMinion.m_hasMoreEnds = false;
   aMinion.m_consecutiveFailures = 0;
   aMinion.m_isFenced = false;
 }
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -130,7 +130,10 @@
   minion.m_areLossesCounted = false;
   minion.m_isFenced = true;
   minion.m_isReleased = minion.m_isReleased && minion.IsLeaving();
-  m_awaited.erase(aMinion);
+  minion.m_hasMoreEnds = aReport.m_hasMoreEnds;
+  if (!aReport.m_hasMoreEnds) {
+    m_awaited.erase(aMinion);
+  }
   for (const ListedEnd& end : aReport.m_ended) {
     if (end.m_number > minion.m_lastProcessedEnd) {
       minion.m_lastProcessedEnd = end.m_number;
@@ -314,6 +317,9 @@
       ForgetCrashesIfStable(*job, *id, run, aNow);
     }
   }
+  if (aReport.m_hasMoreEnds) {
+    return; // The ends of unlisted runs may be among those that are still to be listed.
+  }
   std::vector<std::string> unlisted;
   for (const auto& [name, run] : aMinion.m_runs) {
     const bool isSettled = run.m_phase == RunPhase::Running ||
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -102,7 +102,8 @@
   // A minion without work may be needed elsewhere, so its last run ends are acknowledged at once.
   const bool isAcknowledging =
     minion.m_runs.empty() && minion.m_lastAcknowledgedEnd < request.m_acknowledgedEnd;
-  const bool canWait = m_clock.IsKnown() && !hasUnsavedEnds && !m_isUnreachable && !isAcknowledging;
+  const bool canWait = m_clock.IsKnown() && !hasUnsavedEnds && !m_isUnreachable &&
+                       !isAcknowledging && !minion.m_hasMoreEnds;
   request.m_wait = !canWait                             ? Millis{ 0 }
                    : minion.m_runs.empty()              ? kIdleMinionWait
                    : HasStartingLongRunningUnit(minion) ? kStartingUnitWait
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -1,12 +1,15 @@
 #include "node/PoolOwner.h"
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "mustardtray/process/JsonReader.h"
 #include "standin/StandinServer.h"
+#include "tests/job/PoolFixture.h"
 #include "tests/node/NodeFixture.h"
 #include "tests/soak/RowStoreStandin.h"
 
@@ -18,6 +21,7 @@
 constexpr const char* kPool = "pool";
 constexpr const char* kMinion = "minion";
 constexpr const char* kMachine = "machine";
+constexpr const char* kJob = "0123456789abcdef";
 
 /// The owner of a pool, beside a stand-in of a minion without runs that answers late.
 struct PoolOwnerFixture
@@ -33,10 +37,12 @@
                      0,
                      [this](const std::shared_ptr<StandinExchange>& aExchange) {
                        ++m_minionCalls;
+                       m_startedRuns += aExchange->Request().m_path == "/-/run-start" ? 1 : 0;
                        m_latestCall = aExchange->Request().m_body;
                        if (m_isMinionGone) {
                          return;
                        }
+                       ListEndsOfJob();
                        m_answerTimers.push_back(m_timers.After(kAnswerDelay, [this, aExchange] {
                          aExchange->SendResponse(JsonResponse(
                            200,
@@ -110,6 +116,28 @@
     }
   }
 
+  /// Lists the ends that the latest call has not acknowledged, at most 500, as units of kJob.
+  void ListEndsOfJob()
+  {
+    constexpr int kMaxListedEnds = 500;
+    const Json call = Json::parse(m_latestCall, nullptr, false);
+    if (m_endedUnits == 0 || !call.is_object()) {
+      return;
+    }
+    m_listedEnds.clear();
+    const int first = call.value("last_seen", 0) + 1;
+    for (int end = first; end <= std::min(m_endedUnits, first + kMaxListedEnds - 1); ++end) {
+      m_listedEnds += fmt::format(
+        R"({}[{},"{}.0.0.{}",1,"done",""])", end == first ? "" : ",", end, kJob, end - 1);
+    }
+  }
+
+  bool HasJobEnded() const
+  {
+    const job::Job* job = m_owner->Scheduler().FindJob(kJob);
+    return job && job->HasEnded();
+  }
+
   bool IsRecovering() const { return m_owner->Scheduler().IsRecovering(LeaseClockNow()); }
 
   static platform::NodeSettings MakeSettings(std::uint16_t aPort)
@@ -165,6 +193,8 @@
   job::OwnerRow m_claim;
   std::vector<TimerHandle> m_answerTimers;
   int m_minionCalls = 0;
+  int m_startedRuns = 0;
+  int m_endedUnits = 0;        ///< Units of kJob that have ended on the minion.
   std::string m_latestCall;    ///< Body of the latest call to the minion.
   std::string m_listedEnds;    ///< Rows of run ends in the minion's answers.
   bool m_isMinionGone = false; ///< It answers no calls.
@@ -350,3 +380,20 @@
   CHECK(fixture.m_node.m_context.m_work.Times(WorkPart::PoolDecision) <=
         kRounds * kMaxDecisionsPerRound);
 }
+
+/// Guards against TWICE: the owner took units for lost whose ends were beyond a cut list of ends.
+TEST_CASE("a new owner starts no unit again whose end its minion lists in a later report")
+{
+  constexpr int kUnits = 1'200;
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  job::JobRecord record = job::MakeJob(kJob, kUnits, 1);
+  record.m_spec.m_steps[0].m_need.m_memoryMb = 1;
+  fixture.m_store.PutWithoutHistory(kJobTable, kPool, kJob, job::EncodeJobRecord(record));
+  fixture.m_endedUnits = kUnits;
+  fixture.Crash();
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  CHECK(fixture.RunUntil([&] { return fixture.HasJobEnded(); }));
+  CHECK(fixture.m_startedRuns == 0);
+}
