Node: follow the tables of more than 1,000 partitions

On an installation with more than 1,000 pools or nodes, a node that read a table anew saw the rows of the first 1,000 partitions alone: the store lists 1,000 names at a time. Pools or nodes beyond them did not exist for it.

The follower now asks for the names after the last one as long as lists are full. The new case "a follower reads the rows of more partitions than one list names" saw 1,000 of 2,500 partitions before, now all. The stand-in of the store lists 1,000 names at a time, too.

--- a/src/node/TableFollower.cpp
+++ b/src/node/TableFollower.cpp
@@ -14,6 +14,8 @@
 constexpr Millis kPollTimeoutMargin{ 600 };
 /// Rows in a page that may not have all changes.
 constexpr std::size_t kFullPageRows = 500;
+/// Partitions in a list that may not have all of them.
+constexpr std::size_t kFullPartitionList = 1'000;
 constexpr Millis kFirstRetryDelay{ 200 };
 constexpr Millis kLongestRetryDelay{ 800 };
 
@@ -76,20 +78,33 @@
         Follow();
         return;
       }
-      m_context.m_store.ListPartitions(m_options.m_table,
-                                       "",
-                                       kReadTimeout,
-                                       [this, alive](Result<std::vector<std::string>> aPartitions) {
-                                         if (alive.expired()) {
-                                           return;
-                                         }
-                                         if (!aPartitions) {
-                                           RetryLater(aPartitions.error(), [this] { ReadAll(); });
-                                           return;
-                                         }
-                                         m_partitionsToRead = std::move(aPartitions.value());
-                                         ReadNextPartition();
-                                       });
+      m_partitionsToRead.clear();
+      ListPartitions("");
+    });
+}
+
+void TableFollower::ListPartitions(const std::string& aAfter)
+{
+  m_context.m_store.ListPartitions(
+    m_options.m_table,
+    aAfter,
+    kReadTimeout,
+    [this, aAfter, alive = std::weak_ptr<int>(m_alive)](
+      Result<std::vector<std::string>> aPartitions) {
+      if (alive.expired()) {
+        return;
+      }
+      if (!aPartitions) {
+        RetryLater(aPartitions.error(), [this, aAfter] { ListPartitions(aAfter); });
+        return;
+      }
+      const std::vector<std::string>& partitions = aPartitions.value();
+      m_partitionsToRead.insert(m_partitionsToRead.end(), partitions.begin(), partitions.end());
+      if (partitions.size() >= kFullPartitionList) {
+        ListPartitions(partitions.back());
+      } else {
+        ReadNextPartition();
+      }
     });
 }
 
--- a/src/node/TableFollower.h
+++ b/src/node/TableFollower.h
@@ -42,6 +42,8 @@
 
 private:
   void ReadAll();
+  /// Lists the partitions whose names sort after aAfter, and reads them all.
+  void ListPartitions(const std::string& aAfter);
   void ReadNextPartition();
   void ReadPartition(const std::string& aPartition, const std::string& aFrom);
   void Follow();
--- a/tests/node/TableFollowerTest.cpp
+++ b/tests/node/TableFollowerTest.cpp
@@ -68,3 +68,30 @@
   io.run_for(Millis(100));
   CHECK(seen == std::set<std::string>{ "new" });
 }
+
+/// Guards against nodes and pools that are never seen: lists of partitions are cut at 1,000 names.
+TEST_CASE("a follower reads the rows of more partitions than one list names")
+{
+  constexpr int kPartitions = 2'500;
+  asio::io_context io;
+  TimerService timers(io);
+  soak::RowStoreStandin store(io, timers);
+  platform::NodeSettings settings;
+  settings.m_store = { "127.0.0.1", store.Port() };
+  NodeFixture node(io, timers, settings);
+  for (int i = 0; i < kPartitions; ++i) {
+    store.PutWithoutHistory(kOwnerTable, fmt::format("pool-{}", i), kSingleRowKey, "{}");
+  }
+  std::set<std::string> seen;
+  TableFollower follower(node.m_context,
+                         { kOwnerTable, false, Millis{ 1'000 }, Millis{ 10 } },
+                         [&](const std::vector<platform::Row>& aRows, bool) {
+                           for (const platform::Row& row : aRows) {
+                             seen.insert(row.m_rowId.m_partition);
+                           }
+                         });
+  for (int i = 0; i < 2'000 && !follower.IsUpToDate(); ++i) {
+    io.run_for(Millis(10));
+  }
+  CHECK(seen.size() == kPartitions);
+}
--- a/tests/soak/RowStoreStandin.cpp
+++ b/tests/soak/RowStoreStandin.cpp
@@ -204,10 +204,13 @@
 HttpResponse RowStoreStandin::ListPartitions(const HttpRequest& aRequest) const
 {
   const std::string table = aRequest.QueryValue("table").value_or("");
+  const std::string after = aRequest.QueryValue("after").value_or("");
   std::set<std::string> partitions;
   for (const auto& [name, row] : m_rows) {
-    if (std::get<0>(name) == table) {
-      partitions.insert(std::get<1>(name));
+    const std::string& partition = std::get<1>(name);
+    const bool isListed = std::get<0>(name) == table && (after.empty() || partition > after);
+    if (isListed && partitions.size() < m_maxListedPartitions) {
+      partitions.insert(partition); // The rows are in the order of their partitions.
     }
   }
   Json responseBody = MakeBody(Json::array());
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -36,6 +36,8 @@
   void SetMaxReadsPerSecond(std::size_t aReads) { m_maxReadsPerSecond = aReads; }
   /// Changes in one answer of a feed; 0 sets no limit.
   void SetMaxRowsPerFeed(std::size_t aRows) { m_maxRowsPerFeed = aRows; }
+  /// Names in one list of partitions.
+  void SetMaxListedPartitions(std::size_t aPartitions) { m_maxListedPartitions = aPartitions; }
   /// Writes a row and discards the history before any feed has the change.
   void PutWithoutHistory(const std::string& aTable,
                          const std::string& aPartition,
@@ -93,6 +95,7 @@
   StoreFault m_fault = StoreFault::None;
   std::size_t m_maxReadsPerSecond = 0;
   std::size_t m_maxRowsPerFeed = 0;
+  std::size_t m_maxListedPartitions = 1'000;
   std::size_t m_readsInSecond = 0;
   std::size_t m_refusedReads = 0;
   TimePoint m_secondBeganAt{};
