Node: a transaction that the store rejects does not hold up its pool

Callers' jobs were accepted and never started (LOST). The owner of a pool sent a transaction that the store refuses for good again each 100 ms, without end, and all later writes of the pool waited behind it, so nothing that was handed in could be stored until the owner's process ended.

The new case "a row that the store rejects does not hold up other rows" fails without this change: none of the three rows is answered.

The rows of such a transaction are sent again one by one, and the one at fault is given up with a log line; its writer is told, so a caller gets a refusal in place of an unknown outcome. Refusals that pass are repeated as before.

--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -247,7 +247,8 @@
         return;
       }
       const ErrorKind kind = aResult.error().m_kind;
-      const bool isNotStored = kind == ErrorKind::Refused || kind == ErrorKind::Unavailable;
+      const bool isNotStored =
+        kind == ErrorKind::Refused || kind == ErrorKind::Unavailable || kind == ErrorKind::Invalid;
       aWrite->m_mayBeStored = aWrite->m_mayBeStored || !isNotStored;
       const TimePoint latestRetry = aWrite->m_callerDeadline - kMinStoreTimeout - kAnswerMargin;
       const Micros delay = aWrite->m_backoff.Next();
--- a/src/node/PoolBatchWriter.cpp
+++ b/src/node/PoolBatchWriter.cpp
@@ -1,6 +1,8 @@
 #include "node/PoolBatchWriter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 #include "mustardtray/process/Log.h"
 
@@ -75,6 +77,24 @@
   });
 }
 
+void PoolBatchWriter::FillBatch()
+{
+  std::size_t bytes = 0;
+  while (!m_pending.empty()) {
+    const auto first = m_pending.begin();
+    const std::size_t valueBytes = first->second.m_value ? first->second.m_value->size() : 0;
+    const bool isFull = m_batch.size() >= kMaxRowsPerTransaction ||
+                        bytes + valueBytes > kMaxBytesPerTransaction || m_singleRowTransactions > 0;
+    if (!m_batch.empty() && isFull) {
+      break;
+    }
+    bytes += valueBytes;
+    m_batch.emplace_back(first->first, std::move(first->second));
+    m_pending.erase(first);
+  }
+  m_singleRowTransactions -= m_singleRowTransactions > 0 ? 1 : 0;
+}
+
 void PoolBatchWriter::SendBatch()
 {
   m_transaction = {};
@@ -83,22 +103,14 @@
   m_transaction.m_preconditions.push_back({ { kHeadTable, m_pool, kSingleRowKey }, m_headVersion });
   m_transaction.m_writes.push_back(
     { { kHeadTable, m_pool, kSingleRowKey }, std::to_string(m_headSequence + 1) });
-  std::size_t bytes = 0;
-  std::size_t rows = 0;
-  while (!m_pending.empty() && rows < kMaxRowsPerTransaction && bytes < kMaxBytesPerTransaction) {
-    const auto first = m_pending.begin();
-    const platform::RowId rowId{ first->first.first, m_pool, first->first.second };
-    if (first->second.m_value) {
-      bytes += first->second.m_value->size();
-      m_transaction.m_writes.push_back({ rowId, std::move(*first->second.m_value) });
+  FillBatch();
+  for (const auto& [name, row] : m_batch) {
+    const platform::RowId rowId{ name.first, m_pool, name.second };
+    if (row.m_value) {
+      m_transaction.m_writes.push_back({ rowId, *row.m_value });
     } else {
       m_transaction.m_removals.push_back(rowId);
     }
-    for (SavedCallback& callback : first->second.m_callbacks) {
-      m_batchCallbacks.push_back(std::move(callback));
-    }
-    m_pending.erase(first);
-    ++rows;
   }
   m_isSending = true;
   CommitTransaction();
@@ -122,6 +134,10 @@
   if (m_isClosed) {
     return;
   }
+  if (!aResult && aResult.error().m_kind == ErrorKind::Invalid) {
+    OnRejected(aResult.error());
+    return;
+  }
   if (!aResult) {
     // Sends the same transaction again. The head row shows whether the lost one was applied.
     Log(LogCategory::Platform,
@@ -185,16 +201,73 @@
   m_headVersion = aHeadVersion;
   ++m_headSequence;
   m_isSending = false;
-  std::vector<SavedCallback> callbacks = std::move(m_batchCallbacks);
-  m_batchCallbacks.clear();
+  std::vector<SavedCallback> callbacks;
+  for (auto& [name, row] : m_batch) {
+    std::move(row.m_callbacks.begin(), row.m_callbacks.end(), std::back_inserter(callbacks));
+  }
+  m_batch.clear();
+  if (RunCallbacks(callbacks, WriteOutcome::Saved)) {
+    ScheduleSend();
+  }
+}
+
+void PoolBatchWriter::OnRejected(const Error& aError)
+{
+  std::vector<std::pair<RowName, PendingRow>> batch = std::move(m_batch);
+  m_batch.clear();
+  m_isSending = false;
+  if (batch.size() == 1) {
+    const auto& [name, row] = batch[0];
+    Log(LogCategory::Platform,
+        LogLevel::Error,
+        "row-rejected",
+        "pool",
+        m_pool,
+        "table",
+        name.first,
+        "key",
+        name.second,
+        "bytes",
+        row.m_value ? row.m_value->size() : 0,
+        "error",
+        aError.Text());
+    if (RunCallbacks(row.m_callbacks, WriteOutcome::Rejected)) {
+      ScheduleSend();
+    }
+    return;
+  }
+  Log(LogCategory::Platform,
+      LogLevel::Error,
+      "pool-write-rejected",
+      "pool",
+      m_pool,
+      "rows",
+      batch.size(),
+      "error",
+      aError.Text());
+  m_singleRowTransactions = batch.size();
+  for (auto& [name, row] : batch) {
+    PendingRow& pending = m_pending[name];
+    if (pending.m_callbacks.empty()) {
+      pending.m_value = std::move(row.m_value);
+    }
+    pending.m_callbacks.insert(
+      pending.m_callbacks.begin(), row.m_callbacks.begin(), row.m_callbacks.end());
+  }
+  ScheduleSend();
+}
+
+bool PoolBatchWriter::RunCallbacks(const std::vector<SavedCallback>& aCallbacks,
+                                   WriteOutcome aOutcome)
+{
   const std::weak_ptr<int> alive = m_alive;
-  for (const SavedCallback& callback : callbacks) {
-    callback(WriteOutcome::Saved);
+  for (const SavedCallback& callback : aCallbacks) {
+    callback(aOutcome);
     if (alive.expired()) {
-      return;
+      return false;
     }
   }
-  ScheduleSend();
+  return true;
 }
 
 void PoolBatchWriter::Close()
@@ -202,14 +275,15 @@
   if (!m_isClosed) {
     m_isClosed = true;
     m_sendTimer.Cancel();
-    std::vector<SavedCallback> callbacks = std::move(m_batchCallbacks);
+    std::vector<SavedCallback> callbacks;
+    for (auto& [name, row] : m_batch) {
+      std::move(row.m_callbacks.begin(), row.m_callbacks.end(), std::back_inserter(callbacks));
+    }
     for (auto& [name, row] : m_pending) {
-      for (SavedCallback& callback : row.m_callbacks) {
-        callbacks.push_back(std::move(callback));
-      }
+      std::move(row.m_callbacks.begin(), row.m_callbacks.end(), std::back_inserter(callbacks));
     }
     m_pending.clear();
-    m_batchCallbacks.clear();
+    m_batch.clear();
     for (const SavedCallback& callback : callbacks) {
       callback(WriteOutcome::OwnershipLost);
     }
--- a/src/node/PoolBatchWriter.h
+++ b/src/node/PoolBatchWriter.h
@@ -18,6 +18,7 @@
 {
   Saved,
   OwnershipLost, ///< Another node owns the pool. The write may or may not have been applied.
+  Rejected,      ///< The store does not take the row. The write has not been applied.
 };
 
 class PoolBatchWriter
@@ -35,8 +36,8 @@
   /// has been written yet.
   void LoadHead(const std::vector<platform::Row>& aRows);
   /// Writes a row, or removes it when the value is std::nullopt. A later write of the same row
-  /// replaces one that has not been sent. The callback runs when the write is stored or when
-  /// ownership is lost.
+  /// replaces one that has not been sent. The callback runs when the write is stored, when
+  /// ownership is lost, or when the store cannot take the row.
   void Put(const std::string& aTable,
            const std::string& aKey,
            std::optional<std::string> aValue,
@@ -56,9 +57,16 @@
 
   void ScheduleSend();
   void SendBatch();
+  /// Moves pending rows that fit into one transaction to the batch.
+  void FillBatch();
   void CommitTransaction();
   void OnCommitResult(Result<platform::TransactionResult> aResult);
   void OnSaved(std::uint64_t aHeadVersion);
+  /// Called when the store will never take the transaction: finds the row at fault and gives it up,
+  /// so that the other rows are stored.
+  void OnRejected(const Error& aError);
+  /// Runs the callbacks of rows. Returns whether this object still exists.
+  bool RunCallbacks(const std::vector<SavedCallback>& aCallbacks, WriteOutcome aOutcome);
   void HandleOwnershipLoss();
 
   NodeContext& m_context;
@@ -67,12 +75,14 @@
   std::function<void()> m_onLost;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   std::map<RowName, PendingRow> m_pending;
+  std::vector<std::pair<RowName, PendingRow>> m_batch; ///< Rows of the transaction that is sent.
+  /// Transactions to send with one row each, since the store rejected one that had all of them.
+  std::size_t m_singleRowTransactions = 0;
   std::uint64_t m_headVersion = 0;
   std::uint64_t m_headSequence = 0;
   bool m_isSending = false;
   bool m_isClosed = false;
   platform::Transaction m_transaction;
-  std::vector<SavedCallback> m_batchCallbacks;
   TimerHandle m_sendTimer;
   TimePoint m_sentAt{};
 };
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -16,6 +16,19 @@
 /// Refused jobs whose first attempt is remembered; enough for some seconds of overload.
 constexpr std::size_t kMaxRememberedRefusals = 4'000;
 
+SubmitOutcome SubmitOutcomeOf(WriteOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case WriteOutcome::Saved:
+      return SubmitOutcome::Accepted;
+    case WriteOutcome::Rejected:
+      return SubmitOutcome::Refused;
+    case WriteOutcome::OwnershipLost:
+      break;
+  }
+  return SubmitOutcome::Unknown;
+}
+
 } // namespace
 
 PoolOwner::PoolOwner(NodeContext& aContext,
@@ -115,9 +128,7 @@
                         AddJob(record, isLate);
                       }
                       for (const SubmitCallback& callback : callbacks) {
-                        callback({ aOutcome == WriteOutcome::Saved ? SubmitOutcome::Accepted
-                                                                   : SubmitOutcome::Unknown,
-                                   Millis{ 0 } });
+                        callback({ SubmitOutcomeOf(aOutcome), Millis{ 0 } });
                       }
                     });
 }
--- /dev/null
+++ b/tests/node/PoolBatchWriterTest.cpp
@@ -0,0 +1,81 @@
+#include "node/PoolBatchWriter.h"
+
+#include <map>
+#include <optional>
+
+#include <doctest/doctest.h>
+
+#include "tests/node/NodeFixture.h"
+#include "tests/soak/RowStoreStandin.h"
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+namespace {
+
+constexpr const char* kPool = "pool";
+constexpr std::size_t kMaxRowBytes = 400;
+
+struct BatchWriterFixture
+{
+  BatchWriterFixture()
+    : m_store(m_io, m_timers)
+    , m_node(m_io, m_timers, MakeSettings(m_store.Port()))
+    , m_writer(m_node.m_context, kPool, 0, [] {})
+  {
+    m_store.SetMaxRowBytes(kMaxRowBytes);
+  }
+
+  static platform::NodeSettings MakeSettings(std::uint16_t aPort)
+  {
+    platform::NodeSettings settings;
+    settings.m_store = { "127.0.0.1", aPort };
+    settings.m_maxRowBytes = kMaxRowBytes;
+    return settings;
+  }
+
+  void Put(const std::string& aKey, std::optional<std::string> aValue)
+  {
+    m_writer.Put(kJobTable, aKey, std::move(aValue), [this, aKey](WriteOutcome aOutcome) {
+      m_outcomes[aKey] = aOutcome;
+    });
+  }
+
+  bool RunUntilAnswered(std::size_t aRows)
+  {
+    const TimePoint end = MonotonicNow() + Millis(3'000);
+    while (MonotonicNow() < end && m_outcomes.size() < aRows) {
+      m_io.run_for(Millis(5));
+    }
+    return m_outcomes.size() == aRows;
+  }
+
+  asio::io_context m_io;
+  TimerService m_timers{ m_io };
+  soak::RowStoreStandin m_store;
+  NodeFixture m_node;
+  PoolBatchWriter m_writer;
+  std::map<std::string, WriteOutcome> m_outcomes;
+};
+
+} // namespace
+
+/// Guards against LOST: a transaction that the store refuses for good was sent again without end.
+TEST_CASE_FIXTURE(BatchWriterFixture, "a row that the store rejects does not hold up other rows")
+{
+  // The store takes shorter rows than the settings tell.
+  m_store.SetMaxRowBytes(kMaxRowBytes / 4);
+  Put("a", "1");
+  Put("b", std::string(kMaxRowBytes / 2, 'x'));
+  Put("c", "3");
+  REQUIRE(RunUntilAnswered(3));
+  CHECK(m_outcomes["a"] == WriteOutcome::Saved);
+  CHECK(m_outcomes["b"] == WriteOutcome::Rejected);
+  CHECK(m_outcomes["c"] == WriteOutcome::Saved);
+  m_outcomes.clear();
+  Put("d", "4");
+  REQUIRE(RunUntilAnswered(1));
+  CHECK(m_outcomes["d"] == WriteOutcome::Saved);
+  CHECK(m_store.Value(kJobTable, kPool, "b").empty());
+  CHECK(m_store.Value(kJobTable, kPool, "c") == "3");
+}
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -36,8 +36,11 @@
   void SetMaxReadsPerSecond(std::size_t aReads) { m_maxReadsPerSecond = aReads; }
   /// Changes in one answer of a feed; 0 sets no limit.
   void SetMaxRowsPerFeed(std::size_t aRows) { m_maxRowsPerFeed = aRows; }
+  /// Longest value that a row may have; transactions with a longer one get status 400.
+  void SetMaxRowBytes(std::size_t aBytes) { m_maxRowBytes = aBytes; }
   /// Names in one list of partitions.
   void SetMaxListedPartitions(std::size_t aPartitions) { m_maxListedPartitions = aPartitions; }
+  std::size_t RefusedTransactions() const { return m_refusedTransactions; }
   /// Writes a row and discards the history before any feed has the change.
   void PutWithoutHistory(const std::string& aTable,
                          const std::string& aPartition,
@@ -79,6 +82,7 @@
   bool CountRead();
   void Dispatch(const std::shared_ptr<StandinExchange>& aExchange);
   HttpResponse Commit(const std::string& aBody);
+  bool HasTooLongRow(const Json& aTransaction) const;
   HttpResponse Read(const HttpRequest& aRequest) const;
   HttpResponse ListPartitions(const HttpRequest& aRequest) const;
   void ReadFeed(const std::shared_ptr<StandinExchange>& aExchange);
@@ -95,7 +99,9 @@
   StoreFault m_fault = StoreFault::None;
   std::size_t m_maxReadsPerSecond = 0;
   std::size_t m_maxRowsPerFeed = 0;
+  std::size_t m_maxRowBytes = 65'536;
   std::size_t m_maxListedPartitions = 1'000;
+  std::size_t m_refusedTransactions = 0;
   std::size_t m_readsInSecond = 0;
   std::size_t m_refusedReads = 0;
   TimePoint m_secondBeganAt{};
