Node: split values that are longer than a row of the store

The owner put a job's progress into one row, with the checkpoint of each unit, and the record of a job with many steps into another; the store refuses rows beyond row_bytes, which the settings name and nothing read.

With values in one row, as before, the new cases fail: "a job whose record is longer than a row...", "progress that is longer than a row...", "a job in the inbox that is longer...", "a job that is longer than a row of the store is stored in the inbox", "a value that is longer than a row is stored in several rows", "no part is left of a value that becomes shorter...".

A value is now stored in as many rows as it needs, in one transaction, and readers join them (RowParts, PartitionReader). That holds for all tables of a pool's owner and of the holder of machine orders, whose rows of begun machines grow with a wave and whose tables were read only up to the first page, and for the inbox. A transaction takes 500 kB: checkpoints beyond that are left out, and a job whose record is longer is refused at once with 413.

--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -3,6 +3,7 @@
 /// State of a pool in its owner: the jobs, the minions and their runs. These are plain data types;
 /// the rules are in PoolScheduler, Placement and Admission.
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -175,8 +176,10 @@
 using JobTable = std::unordered_map<std::string, std::unique_ptr<Job>>;
 using MinionTable = std::map<std::string, MinionState>;
 
-/// Encodes a job's progress as JSON for the store.
-std::string EncodeProgress(const Job& aJob);
+/// Encodes a job's progress as JSON for the store. Checkpoints beyond aMaxBytes are left out: their
+/// units start from the beginning after a takeover.
+std::string EncodeProgress(const Job& aJob,
+                           std::size_t aMaxBytes = std::numeric_limits<std::size_t>::max());
 /// Restores the progress of a job that was created from its record. Fails with ErrorKind::Invalid.
 Result<void> DecodeProgress(std::string_view aText, Job& aJob);
 /// Returns the job state in a stored progress text; Queued for an empty text. Fails with
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -16,6 +16,22 @@
 constexpr char kDoneMark = 'd';
 constexpr std::uint32_t kMaxStoredFailures = 9;
 
+std::string Dump(const json& aValue)
+{
+  return aValue.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Removes checkpoints until the encoded text is shorter by aBytes.
+void DropCheckpoints(json& aCheckpoints, std::size_t aBytes)
+{
+  std::size_t dropped = 0;
+  while (dropped < aBytes && !aCheckpoints.empty()) {
+    const auto last = std::prev(aCheckpoints.end());
+    dropped += last.key().size() + last.value().get_ref<const std::string&>().size();
+    aCheckpoints.erase(last);
+  }
+}
+
 /// Writes one character for each unit: done, waiting, or the number of failures so far.
 std::string EncodeUnits(const StepState& aStep)
 {
@@ -67,7 +83,7 @@
   return run;
 }
 
-std::string EncodeProgress(const Job& aJob)
+std::string EncodeProgress(const Job& aJob, std::size_t aMaxBytes)
 {
   json out{ { "state", ToName(aJob.m_state) } };
   if (aJob.HasEnded()) {
@@ -110,7 +126,12 @@
   if (!crashes.empty()) {
     out["crashed"] = std::move(crashes);
   }
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = Dump(out);
+  if (text.size() > aMaxBytes && out.contains("ckpt")) {
+    DropCheckpoints(out["ckpt"], text.size() - aMaxBytes);
+    text = Dump(out);
+  }
+  return text;
 }
 
 Result<JobState> DecodeProgressState(std::string_view aText)
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -28,8 +28,6 @@
 constexpr std::size_t kMaxLoggedBalances = 20;
 /// No order is sent when less of the lease than this is left.
 constexpr Millis kMinOrderTimeout{ 400 };
-constexpr Millis kReadTimeout{ 1'500 };
-constexpr Micros kReadRetryDelay{ 300'000 };
 /// Batches the reports that arrive together into one plan.
 constexpr Micros kPlanDelay{ 10'000 };
 /// Pause after a plan in relation to the time that it took, so that planning leaves most of the
@@ -79,6 +77,7 @@
   , m_planner(
       { aContext.m_settings.m_bounds.m_upkeepTime, aContext.m_settings.m_bounds.m_moveTime })
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
+  , m_reader(aContext, aClaim.m_pool, m_batchWriter)
   , m_announcedOrders(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin, kCallTimeout)
 {
   LoadState();
@@ -111,26 +110,13 @@
 }
 
 void FleetOrderController::LoadTable(const std::string& aTable,
-                                     std::function<void(const std::vector<platform::Row>&)> aOnRows)
+                                     PartitionReader::RowsCallback aOnRows)
 {
-  m_context.m_store.Read(
-    { aTable, m_claim.m_pool, "" },
-    "",
-    kReadTimeout,
-    [this, aTable, aOnRows, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
-      if (alive.expired()) {
-        return;
-      }
-      if (!aPage) {
-        m_readRetryTimers[aTable] = m_context.m_timers.After(
-          kReadRetryDelay, [this, aTable, aOnRows] { LoadTable(aTable, aOnRows); });
-        return;
-      }
-      aOnRows(aPage.value().m_rows);
-      if (--m_tablesToLoad == 0) {
-        FinishLoading();
-      }
-    });
+  m_reader.ReadTable(aTable, std::move(aOnRows), [this] {
+    if (--m_tablesToLoad == 0) {
+      FinishLoading();
+    }
+  });
 }
 
 void FleetOrderController::FinishLoading()
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -13,6 +13,7 @@
 #include "mustardtray/job/Ownership.h"
 #include "node/MachineListReader.h"
 #include "node/NodeContext.h"
+#include "node/PartitionReader.h"
 #include "node/PoolBatchWriter.h"
 #include "node/PoolOwner.h"
 
@@ -46,8 +47,7 @@
 private:
   /// Reads the state that earlier lease holders stored. No order is sent before it has been read.
   void LoadState();
-  void LoadTable(const std::string& aTable,
-                 std::function<void(const std::vector<platform::Row>&)> aOnRows);
+  void LoadTable(const std::string& aTable, PartitionReader::RowsCallback aOnRows);
   void FinishLoading();
   void ListMachines();
   void Tick();
@@ -86,6 +86,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   job::FleetPlanner m_planner;
   PoolBatchWriter m_batchWriter;
+  PartitionReader m_reader;
   std::map<std::uint64_t, std::set<std::string>> m_startedMachinesByWave;
   std::vector<job::WaveRequest> m_deferredWaves;
   job::FleetPlan m_plan;    ///< The latest one.
@@ -108,7 +109,6 @@
   TimerHandle m_periodicTimer;
   TimerHandle m_planTimer;
   TimerHandle m_listTimer;
-  std::map<std::string, TimerHandle> m_readRetryTimers; ///< Timers of repeated reads, by table.
   TimerHandle m_drainTimer;
 };
 
--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -1,6 +1,7 @@
 #include "node/JobGateway.h"
 
 #include "mustardtray/process/Log.h"
+#include "node/RowParts.h"
 #include "platform/Messages.h"
 
 namespace mustardtray::node {
@@ -23,6 +24,7 @@
 /// How long a caller that names no deadline is assumed to wait.
 constexpr Millis kDefaultCallerDeadline{ 2'000 };
 constexpr Millis kMinRetryAfter{ 1'000 };
+constexpr int kTooLarge = 413;
 
 HttpResponse Refusal(int aStatus, Millis aRetryAfter, const std::string& aWhy)
 {
@@ -140,6 +142,11 @@
   record.m_queuePolicy = aQueue.m_queuePolicy;
   record.m_spec = std::move(spec.value());
   record.m_acceptedAt = WallNow();
+  if (!CanStore(record, aRequest.m_body.size())) {
+    Log(LogCategory::Placement, LogLevel::Info, "job-too-large", "job", aTarget.m_job);
+    aResponder.Send(JsonResponse(kTooLarge, R"({"error":"the job is too large to be stored"})"));
+    return;
+  }
   const std::string pool = aTarget.m_pool;
   const TimePoint deadline =
     LeaseClockNow() + platform::DecodeCallerDeadline(aRequest).value_or(kDefaultCallerDeadline);
@@ -172,6 +179,16 @@
   SubmitToRemoteOwner(pool, record, onResult);
 }
 
+bool JobGateway::CanStore(const job::JobRecord& aRecord, std::size_t aBodyBytes) const
+{
+  // A stored step is at most a few times as long as in the request.
+  constexpr std::size_t kMaxGrowth = 8;
+  // The owner adds its epoch to the record.
+  constexpr std::size_t kEpochBytes = 16;
+  const std::size_t maxBytes = MaxValueBytes(m_context.m_settings.m_maxRowBytes) - kEpochBytes;
+  return aBodyBytes <= maxBytes / kMaxGrowth || job::EncodeJobRecord(aRecord).size() <= maxBytes;
+}
+
 void JobGateway::SubmitToRemoteOwner(const std::string& aPool,
                                      const job::JobRecord& aRecord,
                                      std::function<void(SubmitResult)> aDone)
@@ -220,8 +237,9 @@
   platform::Transaction& transaction = write->m_transaction;
   transaction.m_preconditions.push_back({ { kJobTable, aPool, aRecord.m_id }, 0 });
   transaction.m_preconditions.push_back({ { kInboxTable, aPool, aRecord.m_id }, 0 });
-  transaction.m_writes.push_back(
-    { { kInboxTable, aPool, aRecord.m_id }, job::EncodeJobRecord(aRecord) });
+  transaction.m_writes = SplitValue({ kInboxTable, aPool, aRecord.m_id },
+                                    job::EncodeJobRecord(aRecord),
+                                    MaxPartBytes(m_context.m_settings.m_maxRowBytes));
   CommitInboxWrite(write);
 }
 
@@ -333,7 +351,7 @@
                               std::function<void(Result<std::optional<job::JobState>>)> aDone)
 {
   using JobStateResult = Result<std::optional<job::JobState>>;
-  const std::string endKey = aTarget.m_job + '\0';
+  const std::string endKey = EndOfParts(aTarget.m_job);
   const std::weak_ptr<int> alive = m_alive;
   m_context.m_store.Read(
     { kProgressTable, aTarget.m_pool, aTarget.m_job },
@@ -346,7 +364,9 @@
         return;
       }
       if (!aProgress.value().m_rows.empty()) {
-        auto state = job::DecodeProgressState(aProgress.value().m_rows[0].m_value);
+        const std::vector<platform::Row> rows =
+          RowJoiner().Add(std::move(aProgress.value().m_rows));
+        auto state = job::DecodeProgressState(rows.empty() ? "incomplete" : rows[0].m_value);
         done(state ? JobStateResult(std::optional(state.value())) : JobStateResult(state.error()));
         return;
       }
--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -50,6 +50,8 @@
               const JobTarget& aTarget,
               const HttpRequest& aRequest,
               HttpResponder aResponder);
+  /// Whether the store takes a job of this size.
+  bool CanStore(const job::JobRecord& aRecord, std::size_t aBodyBytes) const;
   void SubmitToRemoteOwner(const std::string& aPool,
                            const job::JobRecord& aRecord,
                            std::function<void(SubmitResult)> aDone);
--- a/src/node/PoolBatchWriter.cpp
+++ b/src/node/PoolBatchWriter.cpp
@@ -5,16 +5,12 @@
 #include <iterator>
 
 #include "mustardtray/process/Log.h"
+#include "node/RowParts.h"
 
 namespace mustardtray::node {
 
 namespace {
 
-/// The store accepts 100 entries per transaction, of which two preconditions and the head are used
-/// by every transaction.
-constexpr std::size_t kMaxRowsPerTransaction = 90;
-/// Half of what the store accepts in one call, since base64 makes values a third longer.
-constexpr std::size_t kMaxBytesPerTransaction = 500'000;
 /// Between transactions of one pool, to batch rows: calls to the store are rate-limited and
 /// charged.
 constexpr Millis kSendInterval{ 25 };
@@ -49,6 +45,16 @@
   }
 }
 
+void PoolBatchWriter::OnRowsRead(const std::vector<platform::Row>& aRows)
+{
+  for (const platform::Row& row : aRows) {
+    if (const std::optional<PartKey> part = ParsePartKey(row.m_rowId.m_key)) {
+      std::size_t& parts = m_storedParts[{ row.m_rowId.m_table, part->m_key }];
+      parts = std::max(parts, part->m_part + 1);
+    }
+  }
+}
+
 void PoolBatchWriter::Put(const std::string& aTable,
                           const std::string& aKey,
                           std::optional<std::string> aValue,
@@ -58,6 +64,21 @@
     aSaved(WriteOutcome::OwnershipLost);
     return;
   }
+  if (aValue && aValue->size() > MaxValueBytes(m_context.m_settings.m_maxRowBytes)) {
+    Log(LogCategory::Platform,
+        LogLevel::Error,
+        "row-too-long",
+        "pool",
+        m_pool,
+        "table",
+        aTable,
+        "key",
+        aKey,
+        "bytes",
+        aValue->size());
+    aSaved(WriteOutcome::Rejected);
+    return;
+  }
   PendingRow& row = m_pending[{ aTable, aKey }];
   row.m_value = std::move(aValue);
   row.m_callbacks.push_back(std::move(aSaved));
@@ -77,24 +98,53 @@
   });
 }
 
+std::size_t PoolBatchWriter::StoredParts(const RowName& aName) const
+{
+  const auto found = m_storedParts.find(aName);
+  return found == m_storedParts.end() ? 1 : found->second;
+}
+
 void PoolBatchWriter::FillBatch()
 {
+  const std::size_t partBytes = MaxPartBytes(m_context.m_settings.m_maxRowBytes);
   std::size_t bytes = 0;
+  std::size_t rows = 0;
   while (!m_pending.empty()) {
     const auto first = m_pending.begin();
-    const std::size_t valueBytes = first->second.m_value ? first->second.m_value->size() : 0;
-    const bool isFull = m_batch.size() >= kMaxRowsPerTransaction ||
+    PendingRow& row = first->second;
+    const std::size_t valueBytes = row.m_value ? row.m_value->size() : 0;
+    row.m_parts = row.m_value ? CountParts(valueBytes, partBytes) : 0;
+    const std::size_t changedRows = std::max(row.m_parts, StoredParts(first->first));
+    const bool isFull = rows + changedRows > kMaxRowsPerTransaction ||
                         bytes + valueBytes > kMaxBytesPerTransaction || m_singleRowTransactions > 0;
     if (!m_batch.empty() && isFull) {
       break;
     }
     bytes += valueBytes;
-    m_batch.emplace_back(first->first, std::move(first->second));
+    rows += changedRows;
+    m_batch.emplace_back(first->first, std::move(row));
     m_pending.erase(first);
   }
   m_singleRowTransactions -= m_singleRowTransactions > 0 ? 1 : 0;
 }
 
+void PoolBatchWriter::AddToTransaction(const RowName& aName, const PendingRow& aRow)
+{
+  const platform::RowId rowId{ aName.first, m_pool, aName.second };
+  if (aRow.m_value) {
+    const std::size_t partBytes = MaxPartBytes(m_context.m_settings.m_maxRowBytes);
+    for (platform::RowWrite& write : SplitValue(rowId, *aRow.m_value, partBytes)) {
+      m_transaction.m_writes.push_back(std::move(write));
+    }
+  } else {
+    m_transaction.m_removals.push_back(rowId);
+  }
+  for (std::size_t part = std::max<std::size_t>(1, aRow.m_parts); part < StoredParts(aName);
+       ++part) {
+    m_transaction.m_removals.push_back(PartRowId(rowId, part));
+  }
+}
+
 void PoolBatchWriter::SendBatch()
 {
   m_transaction = {};
@@ -105,12 +155,7 @@
     { { kHeadTable, m_pool, kSingleRowKey }, std::to_string(m_headSequence + 1) });
   FillBatch();
   for (const auto& [name, row] : m_batch) {
-    const platform::RowId rowId{ name.first, m_pool, name.second };
-    if (row.m_value) {
-      m_transaction.m_writes.push_back({ rowId, *row.m_value });
-    } else {
-      m_transaction.m_removals.push_back(rowId);
-    }
+    AddToTransaction(name, row);
   }
   m_isSending = true;
   CommitTransaction();
@@ -203,6 +248,11 @@
   m_isSending = false;
   std::vector<SavedCallback> callbacks;
   for (auto& [name, row] : m_batch) {
+    if (row.m_parts > 1) {
+      m_storedParts[name] = row.m_parts;
+    } else {
+      m_storedParts.erase(name);
+    }
     std::move(row.m_callbacks.begin(), row.m_callbacks.end(), std::back_inserter(callbacks));
   }
   m_batch.clear();
--- a/src/node/PoolBatchWriter.h
+++ b/src/node/PoolBatchWriter.h
@@ -3,6 +3,7 @@
 /// Writes the store's rows of one pool in batches; only the pool's owner writes them. Each
 /// transaction requires the current owner row, so that a former owner's write fails, and the number
 /// of the latest transaction, so that a write that the store applies late cannot undo a newer one.
+/// Values that are longer than a row are split; see RowParts.h.
 
 #include <deque>
 #include <functional>
@@ -35,6 +36,8 @@
   /// Continues the numbering of earlier owners. aRows: rows of the head table; empty when nothing
   /// has been written yet.
   void LoadHead(const std::vector<platform::Row>& aRows);
+  /// Called with the rows of a read, to remember the rows of values with several parts.
+  void OnRowsRead(const std::vector<platform::Row>& aRows);
   /// Writes a row, or removes it when the value is std::nullopt. A later write of the same row
   /// replaces one that has not been sent. The callback runs when the write is stored, when
   /// ownership is lost, or when the store cannot take the row.
@@ -52,6 +55,7 @@
   {
     std::optional<std::string> m_value;
     std::vector<SavedCallback> m_callbacks;
+    std::size_t m_parts = 0; ///< Rows of the value; set when it is sent.
   };
   using RowName = std::pair<std::string, std::string>; ///< Table and key.
 
@@ -59,6 +63,9 @@
   void SendBatch();
   /// Moves pending rows that fit into one transaction to the batch.
   void FillBatch();
+  void AddToTransaction(const RowName& aName, const PendingRow& aRow);
+  /// Number of rows that the store has for the value.
+  std::size_t StoredParts(const RowName& aName) const;
   void CommitTransaction();
   void OnCommitResult(Result<platform::TransactionResult> aResult);
   void OnSaved(std::uint64_t aHeadVersion);
@@ -76,6 +83,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   std::map<RowName, PendingRow> m_pending;
   std::vector<std::pair<RowName, PendingRow>> m_batch; ///< Rows of the transaction that is sent.
+  std::map<RowName, std::size_t> m_storedParts;        ///< Of values with several rows.
   /// Transactions to send with one row each, since the store rejected one that had all of them.
   std::size_t m_singleRowTransactions = 0;
   std::uint64_t m_headVersion = 0;
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -40,6 +40,7 @@
       job::PoolPolicy{ MaxRunLease(aContext), aContext.m_settings.m_bounds.m_maxRunLease },
       LeaseClockNow())
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
+  , m_reader(aContext, aClaim.m_pool, m_batchWriter)
 {
   m_scheduler.SetEpoch(aClaim.m_epoch);
   StartLoading();
@@ -170,6 +171,14 @@
     return;
   }
   const std::string& key = aRow.m_rowId.m_key;
+  if (ParsePartKey(key)) {
+    return; // Read with the first part.
+  }
+  if (HasFurtherParts(aRow)) {
+    m_reader.ReadValue(
+      kInboxTable, key, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); });
+    return;
+  }
   const std::string prefix = kCancelPrefix;
   if (!key.starts_with(prefix)) {
     AcceptFromInbox(key, aRow.m_value);
@@ -192,6 +201,13 @@
   }
 }
 
+void PoolOwner::OnInboxRows(const std::vector<platform::Row>& aRows)
+{
+  for (const platform::Row& row : aRows) {
+    OnInboxRow(row);
+  }
+}
+
 TimePoint PoolOwner::FirstRefusalTime(const std::string& aId) const
 {
   const auto found = m_firstRefusalTimes.find(aId);
@@ -461,7 +477,7 @@
   m_scheduler.OnProgressSaveStarted(aJob.m_record.m_id);
   m_batchWriter.Put(kProgressTable,
                     aJob.m_record.m_id,
-                    job::EncodeProgress(aJob),
+                    job::EncodeProgress(aJob, MaxValueBytes(m_context.m_settings.m_maxRowBytes)),
                     [this,
                      id = aJob.m_record.m_id,
                      revision = aJob.m_revision,
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -13,6 +13,7 @@
 #include "mustardtray/job/PoolScheduler.h"
 #include "node/MinionSession.h"
 #include "node/NodeContext.h"
+#include "node/PartitionReader.h"
 #include "node/PoolBatchWriter.h"
 #include "node/UsedMinion.h"
 
@@ -84,10 +85,6 @@
 private:
   friend class MinionSession;
 
-  void LoadTable(const std::string& aTable,
-                 const std::string& aFrom,
-                 std::function<void(std::vector<platform::Row>&)> aOnRows,
-                 std::function<void()> aDone);
   void StartLoading();
   void FinishLoading();
   void RequestDecision();
@@ -106,6 +103,7 @@
   void SaveUnsavedJobs();
   void SaveProgress(const job::Job& aJob, PoolBatchWriter::SavedCallback aSaved);
   void RemoveFromInbox(const std::string& aKey);
+  void OnInboxRows(const std::vector<platform::Row>& aRows);
   /// Starts a session with a minion unless there is one.
   void StartSession(const std::string& aId);
   /// Writes to the store that work may be on the minion, unless the store knows or must not know.
@@ -126,6 +124,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   job::PoolScheduler m_scheduler;
   PoolBatchWriter m_batchWriter;
+  PartitionReader m_reader;
   std::map<std::string, std::unique_ptr<MinionSession>> m_sessions;
   /// Numbers of the writes that record a minion, until they are saved or the record is removed.
   std::map<std::string, std::uint64_t> m_pendingRecords;
@@ -145,7 +144,6 @@
   TimerHandle m_logTimer;
   TimerHandle m_recoveryLogTimer;
   TimerHandle m_decisionTimer;
-  TimerHandle m_retryTimer;
   TimerHandle m_drainTimer;
   TimePoint m_loadedAt{};
   TimePoint m_nextDecisionAt{};  ///< Earliest time of a decision that is made on request.
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr Millis kReadTimeout{ 2'000 };
-constexpr Micros kReadRetryDelay{ 150'000 };
 constexpr Millis kDecisionPeriod{ 100 };
 constexpr Millis kWaitingLogPeriod{ 2'000 };
 constexpr Millis kRecoveryLogPeriod{ 500 };
@@ -22,51 +20,6 @@
 
 } // namespace
 
-void PoolOwner::LoadTable(const std::string& aTable,
-                          const std::string& aFrom,
-                          std::function<void(std::vector<platform::Row>&)> aOnRows,
-                          std::function<void()> aDone)
-{
-  m_context.m_store.Read({ aTable, m_claim.m_pool, aFrom },
-                         "",
-                         kReadTimeout,
-                         [this,
-                          aTable,
-                          aFrom,
-                          onRows = std::move(aOnRows),
-                          done = std::move(aDone),
-                          alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
-                           if (alive.expired()) {
-                             return;
-                           }
-                           if (!aPage) {
-                             Log(LogCategory::Platform,
-                                 LogLevel::Warning,
-                                 "pool-read-failed",
-                                 "pool",
-                                 Pool(),
-                                 "table",
-                                 aTable,
-                                 "error",
-                                 aPage.error().Text());
-                             m_retryTimer = m_context.m_timers.After(
-                               kReadRetryDelay, [this, aTable, aFrom, onRows, done] {
-                                 LoadTable(aTable, aFrom, onRows, done);
-                               });
-                             return;
-                           }
-                           platform::RowPage& page = aPage.value();
-                           const std::string next =
-                             page.m_rows.empty() ? "" : page.m_rows.back().m_rowId.m_key + '\0';
-                           onRows(page.m_rows);
-                           if (page.m_hasMore && !next.empty()) {
-                             LoadTable(aTable, next, onRows, done);
-                           } else {
-                             done();
-                           }
-                         });
-}
-
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
 {
   const Millis longest = job::Scaled(MaxRunLease(m_context), kClockSlowdown) + kTakeoverMargin;
@@ -100,10 +53,10 @@
       minion.m_leaseEnd = leaseEnd;
     }
   };
-  LoadTable(kHeadTable, "", onHead, [=, this] {
-    LoadTable(kUsedMinionTable, "", onMinions, [=, this] {
-      LoadTable(kJobTable, "", toMap(m_loadedJobs), [=, this] {
-        LoadTable(kProgressTable, "", toMap(m_loadedProgress), [this] { FinishLoading(); });
+  m_reader.ReadTable(kHeadTable, onHead, [=, this] {
+    m_reader.ReadTable(kUsedMinionTable, onMinions, [=, this] {
+      m_reader.ReadTable(kJobTable, toMap(m_loadedJobs), [=, this] {
+        m_reader.ReadTable(kProgressTable, toMap(m_loadedProgress), [this] { FinishLoading(); });
       });
     });
   });
@@ -167,19 +120,10 @@
   for (auto& [id, minion] : m_scheduler.Minions()) {
     StartSession(id);
   }
-  const std::vector<platform::Row> inbox = std::move(m_deferredInboxRows);
-  for (const platform::Row& row : inbox) {
-    OnInboxRow(row);
-  }
-  LoadTable(
-    kInboxTable,
-    "",
-    [this](std::vector<platform::Row>& aRows) {
-      for (const platform::Row& row : aRows) {
-        OnInboxRow(row);
-      }
-    },
-    [] {});
+  OnInboxRows(std::move(m_deferredInboxRows));
+  m_deferredInboxRows.clear();
+  m_reader.ReadTable(
+    kInboxTable, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); }, [] {});
   m_periodicTimer = m_context.m_timers.Every(kDecisionPeriod, 0, [this] { DecideNow(); });
   m_recoveryLogTimer = m_context.m_timers.Every(kRecoveryLogPeriod, 0, [this] { LogRecovery(); });
   m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] { LogWaiting(); });
--- a/tests/node/JobGatewayTest.cpp
+++ b/tests/node/JobGatewayTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "node/RowParts.h"
 #include "tests/node/NodeFixture.h"
 #include "tests/soak/RowStoreStandin.h"
 
@@ -44,18 +45,36 @@
     return settings;
   }
 
-  std::shared_ptr<RecordingSink> Submit()
+  std::shared_ptr<RecordingSink> Submit(std::size_t aSteps = 1)
+  {
+    std::string steps;
+    for (std::size_t step = 0; step < aSteps; ++step) {
+      steps += step == 0 ? R"({"count":1,"cpu":1})" : R"(,{"count":1,"cpu":1})";
+    }
+    return Request("POST", R"({"spec":"s","steps":[)" + steps + "]}");
+  }
+
+  std::shared_ptr<RecordingSink> Request(const char* aMethod, std::string aBody)
   {
     HttpRequest request;
-    request.m_method = "POST";
+    request.m_method = aMethod;
     request.m_path = "/q/0123456789abcdef";
     request.m_headers = { { "Host", "jobs" }, { "Deadline-Ms", "3000" } };
-    request.m_body = R"({"spec":"s","steps":[{"count":1,"cpu":1}]})";
+    request.m_body = std::move(aBody);
     auto sink = std::make_shared<RecordingSink>();
     m_gateway.Handle(std::move(request), HttpResponder(sink));
     return sink;
   }
 
+  int AwaitStatus(const std::shared_ptr<RecordingSink>& aSink)
+  {
+    for (int i = 0; i < 500 && aSink->m_responses.empty(); ++i) {
+      m_io.run_for(Millis(10));
+    }
+    REQUIRE(aSink->m_responses.size() == 1);
+    return aSink->m_responses[0].m_status;
+  }
+
   /// Submits a job while the store closes all connections for aOutage. Returns the status and how
   /// long it took.
   std::pair<int, Millis> SubmitDuringOutage(soak::StoreFault aFault, Millis aOutage)
@@ -123,3 +142,25 @@
   REQUIRE(pending->m_responses.size() == 1);
   CHECK(pending->m_responses[0].m_status == 504);
 }
+
+/// Guards against LOST: a job that is longer than a row was refused although the store has room.
+TEST_CASE("a job that is longer than a row of the store is stored in the inbox")
+{
+  constexpr std::size_t kSteps = 1'800;
+  GatewayFixture fixture;
+  CHECK(fixture.AwaitStatus(fixture.Submit(kSteps)) == 200);
+  CHECK(fixture.AwaitStatus(fixture.Request("GET", "")) == 200);
+  const std::string key = "0123456789abcdef";
+  const std::string lastPart = PartRowId({ kInboxTable, "pool", key }, 1).m_key;
+  CHECK_FALSE(fixture.m_store.Value(kInboxTable, "pool", lastPart).empty());
+}
+
+TEST_CASE("a job that no transaction of the store can hold is refused at once")
+{
+  constexpr std::size_t kSteps = 1'800;
+  GatewayFixture fixture;
+  fixture.m_node.m_settings.m_maxRowBytes = 400;
+  const auto sink = fixture.Submit(kSteps);
+  REQUIRE(sink->m_responses.size() == 1);
+  CHECK(sink->m_responses[0].m_status == 413);
+}
--- a/tests/node/PoolBatchWriterTest.cpp
+++ b/tests/node/PoolBatchWriterTest.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include "node/PartitionReader.h"
 #include "tests/node/NodeFixture.h"
 #include "tests/soak/RowStoreStandin.h"
 
@@ -50,6 +51,26 @@
     return m_outcomes.size() == aRows;
   }
 
+  std::map<std::string, std::string> ReadAll()
+  {
+    std::map<std::string, std::string> values;
+    bool isDone = false;
+    PartitionReader reader(m_node.m_context, kPool, m_writer);
+    reader.ReadTable(
+      kJobTable,
+      [&](std::vector<platform::Row>& aRows) {
+        for (const platform::Row& row : aRows) {
+          values[row.m_rowId.m_key] = row.m_value;
+        }
+      },
+      [&] { isDone = true; });
+    for (int i = 0; i < 200 && !isDone; ++i) {
+      m_io.run_for(Millis(5));
+    }
+    REQUIRE(isDone);
+    return values;
+  }
+
   asio::io_context m_io;
   TimerService m_timers{ m_io };
   soak::RowStoreStandin m_store;
@@ -76,6 +97,50 @@
   Put("d", "4");
   REQUIRE(RunUntilAnswered(1));
   CHECK(m_outcomes["d"] == WriteOutcome::Saved);
-  CHECK(m_store.Value(kJobTable, kPool, "b").empty());
-  CHECK(m_store.Value(kJobTable, kPool, "c") == "3");
+  CHECK(ReadAll() ==
+        std::map<std::string, std::string>{ { "a", "1" }, { "c", "3" }, { "d", "4" } });
+}
+
+/// Guards against LOST: a value that was longer than a row could not be stored.
+TEST_CASE_FIXTURE(BatchWriterFixture, "a value that is longer than a row is stored in several rows")
+{
+  const std::string value(5 * kMaxRowBytes, 'x');
+  Put("a", value);
+  Put("b", "2");
+  REQUIRE(RunUntilAnswered(2));
+  CHECK(m_store.RefusedTransactions() == 0);
+  CHECK(ReadAll() == std::map<std::string, std::string>{ { "a", value }, { "b", "2" } });
+}
+
+TEST_CASE_FIXTURE(BatchWriterFixture,
+                  "no part is left of a value that becomes shorter or is removed")
+{
+  Put("a", std::string(5 * kMaxRowBytes, 'x'));
+  REQUIRE(RunUntilAnswered(1));
+  const std::string lastPart = PartRowId({ kJobTable, kPool, "a" }, 6).m_key;
+  REQUIRE_FALSE(m_store.Value(kJobTable, kPool, lastPart).empty());
+  const std::string firstPart = PartRowId({ kJobTable, kPool, "a" }, 1).m_key;
+  m_outcomes.clear();
+  bool isRemoved = false;
+  SUBCASE("shorter")
+  {
+    Put("a", "1");
+  }
+  SUBCASE("removed")
+  {
+    isRemoved = true;
+    Put("a", std::nullopt);
+  }
+  REQUIRE(RunUntilAnswered(1));
+  CHECK(m_store.Value(kJobTable, kPool, "a") == (isRemoved ? "" : "1"));
+  CHECK(m_store.Value(kJobTable, kPool, firstPart).empty());
+  CHECK(m_store.Value(kJobTable, kPool, lastPart).empty());
+}
+
+TEST_CASE_FIXTURE(BatchWriterFixture, "a value that no transaction can hold is rejected at once")
+{
+  Put("a", std::string(MaxValueBytes(kMaxRowBytes) + 1, 'x'));
+  REQUIRE(m_outcomes.contains("a"));
+  CHECK(m_outcomes["a"] == WriteOutcome::Rejected);
+  CHECK(m_writer.IsIdle());
 }
--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -397,3 +397,90 @@
   CHECK(fixture.RunUntil([&] { return fixture.HasJobEnded(); }));
   CHECK(fixture.m_startedRuns == 0);
 }
+
+/// Guards against LOST: a job whose record was longer than a row blocked all writes of its pool.
+TEST_CASE("a job whose record is longer than a row is stored and loaded again")
+{
+  constexpr std::size_t kSteps = 1'800;
+  PoolOwnerFixture fixture;
+  job::JobRecord record = job::MakeJob(kJob, 1);
+  record.m_spec.m_steps[0].m_isLongRunning = true; // Accepted without minions.
+  record.m_spec.m_steps.resize(kSteps, record.m_spec.m_steps[0]);
+  REQUIRE(job::EncodeJobRecord(record).size() > fixture.m_node.m_settings.m_maxRowBytes);
+  std::optional<SubmitOutcome> outcome;
+  fixture.m_owner->Submit(record, [&](SubmitResult aResult) { outcome = aResult.m_outcome; });
+  REQUIRE(fixture.RunUntil([&] { return outcome.has_value(); }));
+  REQUIRE(*outcome == SubmitOutcome::Accepted);
+  fixture.Crash();
+  const job::Job* job = fixture.m_owner->Scheduler().FindJob(kJob);
+  REQUIRE(job);
+  CHECK(job->m_record.m_spec.m_steps.size() == kSteps);
+}
+
+/// Guards against LOST: progress that was longer than a row was never stored, nor was what
+/// followed.
+TEST_CASE("progress that is longer than a row is stored and loaded again")
+{
+  constexpr std::uint32_t kUnits = 3'000;
+  constexpr const char* kCheckpoint = "00000bb87a21d94b";
+  PoolOwnerFixture fixture;
+  fixture.m_store.PutWithoutHistory(
+    kJobTable, kPool, kJob, job::EncodeJobRecord(job::MakeJob(kJob, kUnits)));
+  fixture.Crash();
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  std::string ends;
+  for (std::uint32_t unit = 1; unit < kUnits; ++unit) {
+    ends += fmt::format(R"({}[{},"{}.0.0.{}",1,"stopped","{}"])",
+                        unit == 1 ? "" : ",",
+                        unit,
+                        kJob,
+                        unit,
+                        kCheckpoint);
+  }
+  fixture.m_listedEnds = ends + fmt::format(R"(,[{},"{}.0.0.0",1,"done",""])", kUnits, kJob);
+  const auto isAcknowledged = [&] {
+    const auto found = fixture.m_owner->Scheduler().Minions().find(kMinion);
+    return found != fixture.m_owner->Scheduler().Minions().end() &&
+           found->second.m_lastAcknowledgedEnd == kUnits;
+  };
+  REQUIRE(fixture.RunUntil(isAcknowledged, Millis(6'000)));
+  CHECK(fixture.m_store.RefusedTransactions() == 0);
+  fixture.m_listedEnds.clear();
+  fixture.Crash();
+  const job::Job* job = fixture.m_owner->Scheduler().FindJob(kJob);
+  REQUIRE(job);
+  const std::vector<job::Unit>& units = job->m_occurrences.at(0).m_steps[0].m_units;
+  CHECK(units.front().m_isDone);
+  CHECK(units.back().m_checkpoint == kCheckpoint);
+}
+
+TEST_CASE("a job in the inbox that is longer than a row is accepted and leaves no row there")
+{
+  PoolOwnerFixture fixture;
+  job::JobRecord record = job::MakeJob(kJob, 1);
+  record.m_spec.m_steps.resize(1'800, record.m_spec.m_steps[0]);
+  const platform::RowId inbox{ kInboxTable, kPool, kJob };
+  const auto writes = SplitValue(
+    inbox, job::EncodeJobRecord(record), MaxPartBytes(fixture.m_node.m_settings.m_maxRowBytes));
+  REQUIRE(writes.size() > 1);
+  for (const platform::RowWrite& write : writes) {
+    fixture.m_store.PutWithoutHistory(kInboxTable, kPool, write.m_rowId.m_key, write.m_value);
+  }
+  SUBCASE("the pool is loaded")
+  {
+    fixture.Crash();
+  }
+  SUBCASE("the feed shows the rows")
+  {
+    for (const platform::RowWrite& write : writes) {
+      fixture.m_owner->OnInboxRow({ write.m_rowId, write.m_value });
+    }
+  }
+  const auto isStored = [&](const std::string& aKey) {
+    return !fixture.m_store.Value(kInboxTable, kPool, aKey).empty();
+  };
+  REQUIRE(fixture.RunUntil([&] { return fixture.m_owner->Scheduler().FindJob(kJob) != nullptr; }));
+  CHECK(fixture.RunUntil([&] { return !isStored(kJob); }));
+  CHECK_FALSE(isStored(PartRowId(inbox, 1).m_key));
+}
