--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -366,7 +366,11 @@
       if (!aProgress.value().m_rows.empty()) {
         const std::vector<platform::Row> rows =
           RowJoiner().Add(std::move(aProgress.value().m_rows));
-        auto state = job::DecodeProgressState(rows.empty() ? "incomplete" : rows[0].m_value);
+        if (rows.empty()) {
+          done(Error{ ErrorKind::Invalid, "read job", "", "parts of its progress are missing" });
+          return;
+        }
+        auto state = job::DecodeProgressState(rows[0].m_value);
         done(state ? JobStateResult(std::optional(state.value())) : JobStateResult(state.error()));
         return;
       }
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -120,7 +120,7 @@
   for (auto& [id, minion] : m_scheduler.Minions()) {
     StartSession(id);
   }
-  OnInboxRows(std::move(m_deferredInboxRows));
+  OnInboxRows(m_deferredInboxRows);
   m_deferredInboxRows.clear();
   m_reader.ReadTable(
     kInboxTable, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); }, [] {});
