Node: a failing test for ends whose progress the store rejects

A row of progress that the store refuses for good is given up since, but the ends in it are acknowledged all the same, so a later owner starts the units again (TWICE). Before, the pool stood still in that case.

--- a/tests/node/PoolOwnerTest.cpp
+++ b/tests/node/PoolOwnerTest.cpp
@@ -440,9 +440,7 @@
   }
   fixture.m_listedEnds = ends + fmt::format(R"(,[{},"{}.0.0.0",1,"done",""])", kUnits, kJob);
   const auto isAcknowledged = [&] {
-    const auto found = fixture.m_owner->Scheduler().Minions().find(kMinion);
-    return found != fixture.m_owner->Scheduler().Minions().end() &&
-           found->second.m_lastAcknowledgedEnd == kUnits;
+    return fixture.m_owner->Scheduler().Minions().at(kMinion).m_lastAcknowledgedEnd == kUnits;
   };
   REQUIRE(fixture.RunUntil(isAcknowledged, Millis(6'000)));
   CHECK(fixture.m_store.RefusedTransactions() == 0);
@@ -484,3 +482,19 @@
   CHECK(fixture.RunUntil([&] { return !isStored(kJob); }));
   CHECK_FALSE(isStored(PartRowId(inbox, 1).m_key));
 }
+
+/// Guards against TWICE after a takeover: a minion forgets ends that the store has refused to keep.
+TEST_CASE("ends whose progress the store rejects are not acknowledged")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_store.PutWithoutHistory(
+    kJobTable, kPool, kJob, job::EncodeJobRecord(job::MakeJob(kJob, 1'200)));
+  fixture.Crash();
+  fixture.m_store.SetMaxRowBytes(600); // The progress of the job has a byte for each unit.
+  fixture.m_endedUnits = 1;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  fixture.m_io.run_for(Millis(2'000));
+  REQUIRE(fixture.m_store.RefusedTransactions() > 1);
+  REQUIRE(fixture.m_owner->Scheduler().Minions().at(kMinion).m_lastProcessedEnd == 1);
+  CHECK(fixture.m_owner->Scheduler().Minions().at(kMinion).m_lastAcknowledgedEnd == 0);
+}
