Job, platform: decode client accounts, public queues and their settings

Cause: the configurations of deployments with client accounts list accounts with API keys, weights and limits, which were ignored. Change: they are decoded and checked (unique names and keys, weights and limits in range), the account is part of a job's stored form, and the settings that belong to them are read; nothing uses them yet. Result: unit tests pass; a configuration with two accounts that share a key is rejected whole.

--- a/include/mustardtray/job/Deployment.h
+++ b/include/mustardtray/job/Deployment.h
@@ -18,6 +18,7 @@
   std::string m_prefix;
   std::string m_pool;
   QueuePolicy m_queuePolicy;
+  bool m_isPublic = false; ///< Callers need no API key.
 };
 
 struct PoolSpec
@@ -27,18 +28,29 @@
   bool m_isSpare = false;  ///< Machines of this pool are off and cost nothing.
 };
 
+/// A client account: who may submit jobs, and how much of the fleet the account gets.
+struct AccountSpec
+{
+  std::string m_name;
+  std::vector<std::string> m_keys; ///< API keys; never logged.
+  double m_weight = 1.0;           ///< Share when capacity is short, and entitled jobs a second.
+  Resources m_limit;               ///< Of all running units of the account; 0: no limit.
+};
+
 /// A version of the operator's configuration.
 struct Deployment
 {
   std::uint64_t m_version = 0;
   std::vector<QueueSpec> m_queues;
   std::vector<PoolSpec> m_pools;
+  std::vector<AccountSpec> m_accounts;
   std::uint64_t m_maxBodyBytes = 262'144;
 
   /// Returns the queue with the longest matching path prefix, or nullptr when none matches.
   const QueueSpec* FindQueue(std::string_view aHost, std::string_view aPath) const;
   const PoolSpec* FindPool(std::string_view aName) const;
   const PoolSpec* SparePool() const;
+  const AccountSpec* FindAccount(std::string_view aName) const;
 };
 
 enum class MachineState
--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -110,6 +110,7 @@
 struct JobRecord
 {
   std::string m_id;
+  std::string m_account; ///< Client account that submitted it; empty for callers without a key.
   QueuePolicy m_queuePolicy;
   JobSpec m_spec;
   WallTime m_acceptedAt{};
--- a/src/job/Deployment.cpp
+++ b/src/job/Deployment.cpp
@@ -35,4 +35,14 @@
   return nullptr;
 }
 
+const AccountSpec* Deployment::FindAccount(std::string_view aName) const
+{
+  for (const AccountSpec& account : m_accounts) {
+    if (account.m_name == aName) {
+      return &account;
+    }
+  }
+  return nullptr;
+}
+
 } // namespace mustardtray::job
--- a/src/job/Job.cpp
+++ b/src/job/Job.cpp
@@ -143,6 +143,9 @@
             { "epoch", aRecord.m_epoch },
             { "payload", aRecord.m_spec.m_payload },
             { "steps", std::move(steps) } };
+  if (!aRecord.m_account.empty()) {
+    out["account"] = aRecord.m_account;
+  }
   if (aRecord.m_queuePolicy.m_needsAdvice) {
     out["advice"] = true;
   }
@@ -160,6 +163,7 @@
     const json in = json::parse(aText);
     JobRecord record;
     record.m_id = in.at("id").get<std::string>();
+    record.m_account = in.value("account", std::string{});
     record.m_queuePolicy.m_queue = in.at("queue").get<std::string>();
     record.m_queuePolicy.m_priority = in.at("prio").get<int>();
     record.m_queuePolicy.m_maxAttempts = in.at("attempts").get<std::uint32_t>();
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -95,6 +95,41 @@
   CHECK(deployment.value().SparePool()->m_name == "s1");
 }
 
+TEST_CASE("DecodeDeployment decodes client accounts and public queues")
+{
+  const auto deployment = DecodeDeployment(
+    R"({"version":7,"routes":[{"name":"q","host":"h","prefix":"/a/","service":"p","public":true}],
+        "services":[],"tenants":[{"name":"a1","api_keys":["k1","k2"],"priority":1,"weight":2.5,
+        "max_count":{"cpu":1000,"mem_mb":2000,"gpu":0}},{"name":"a2"}]})");
+  REQUIRE(deployment);
+  CHECK(deployment.value().m_queues.at(0).m_isPublic);
+  const job::AccountSpec* account = deployment.value().FindAccount("a1");
+  REQUIRE(account);
+  CHECK(account->m_keys == std::vector<std::string>{ "k1", "k2" });
+  CHECK(account->m_weight == 2.5);
+  CHECK(account->m_limit.m_memoryMb == 2000);
+  CHECK_FALSE(deployment.value().FindAccount("a3"));
+}
+
+TEST_CASE("a configuration with accounts that cannot be told apart or be divided is rejected whole")
+{
+  // Guards against a row of another writer that would let one account's key stand for another's.
+  for (const std::string accounts :
+       { R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+         R"([{"name":"a","api_keys":["k","k"]}])",
+         R"([{"name":"a"},{"name":"a"}])",
+         R"([{"name":""}])",
+         R"([{"name":"a","api_keys":[""]}])",
+         R"([{"name":"a","weight":-1}])",
+         R"([{"name":"a","weight":"much"}])",
+         R"([{"name":"a","weight":1e300}])",
+         R"([{"name":"a","max_count":{"cpu":-5}}])" }) {
+    CAPTURE(accounts);
+    CHECK_FALSE(
+      DecodeDeployment(R"({"version":7,"routes":[],"services":[],"tenants":)" + accounts + "}"));
+  }
+}
+
 TEST_CASE("Base64 texts with too much padding decode to nothing")
 {
   for (const std::string text : { "====", "A===", "=", "AAAA====" }) {
--- a/tests/platform/NodeSettingsTest.cpp
+++ b/tests/platform/NodeSettingsTest.cpp
@@ -39,6 +39,21 @@
   CHECK(settings.value().m_zones.at("north") == "west");
 }
 
+TEST_CASE("ParseNodeSettings enforces accounts only where the contracts ask for them")
+{
+  CHECK_FALSE(ParseNodeSettings(kComplete).value().m_hasAccounts);
+  CHECK_FALSE(ParseNodeSettings(kComplete + "contracts=base,tenants-not\n").value().m_hasAccounts);
+  const auto settings = ParseNodeSettings(kComplete + "contracts=base,tenants,quota\n"
+                                                      "bounds.strict_revoke=true\n"
+                                                      "bounds.quota_window_s=4\n"
+                                                      "limits.memory_mb=160\n");
+  REQUIRE(settings);
+  CHECK(settings.value().m_hasAccounts);
+  CHECK(settings.value().m_bounds.m_isRevocationStrict);
+  CHECK(settings.value().m_bounds.m_rateWindow == Millis(4'000));
+  CHECK(settings.value().m_memoryMb == 160);
+}
+
 TEST_CASE("ParseNodeSettings names a missing or malformed field in the error")
 {
   for (const std::string field : { "node_name",
@@ -52,7 +67,10 @@
     REQUIRE_FALSE(settings);
     CHECK(settings.error().m_message.find(field) != std::string::npos);
   }
-  for (const std::string line : { "bounds.grace_s=soon", "bounds.lease_ms=-1", "advice=nowhere" }) {
+  for (const std::string line : { "bounds.grace_s=soon",
+                                  "bounds.lease_ms=-1",
+                                  "advice=nowhere",
+                                  "bounds.strict_revoke=2" }) {
     const auto settings = ParseNodeSettings(kComplete + line + "\n");
     REQUIRE_FALSE(settings);
     CHECK(settings.error().m_message.find(line.substr(0, line.find('='))) != std::string::npos);
