Node: check API keys at the gateway and keep accounts of jobs apart

Cause: accounts and their keys were decoded but nothing checked them; every caller could submit, read and cancel all jobs. A node that the store does not answer for 400 ms asks other nodes for the configuration (/peer/configuration); an unknown key makes it read the configuration unless its view is at most 1,000 ms old on the lease clock. Where accounts are enforced, the poll of the operator's rows waits 250 ms instead of 900. Without accounts nothing changes. A job of the inbox counts as pending while it is written, since a submission of the same id could replace it. JobGatewayTest's fixture gets a relay, its checks are unchanged. Not run: end-to-end tests, soak.

--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -10,6 +10,7 @@
 
 #include "mustardtray/connection/HttpServer.h"
 #include "mustardtray/process/Backoff.h"
+#include "node/AccessGate.h"
 #include "node/Membership.h"
 #include "node/NodeContext.h"
 #include "node/PeerMessages.h"
@@ -23,7 +24,10 @@
 class JobGateway
 {
 public:
-  JobGateway(NodeContext& aContext, const Membership& aMembership, LocalOwner aLocalOwner);
+  JobGateway(NodeContext& aContext,
+             const Membership& aMembership,
+             ConfigurationRelay& aRelay,
+             LocalOwner aLocalOwner);
 
   /// Handles a caller's request.
   void Handle(HttpRequest aRequest, HttpResponder aResponder);
@@ -44,8 +48,15 @@
     std::string m_pool;
     std::string m_queue;
     std::string m_job;
+    job::Caller m_caller;
   };
 
+  const job::QueueSpec* FindQueue(const HttpRequest& aRequest) const;
+  /// Handles a request whose API key has been checked.
+  void HandleFrom(const job::Caller& aCaller,
+                  const HttpRequest& aRequest,
+                  HttpResponder aResponder);
+
   void Submit(const job::QueueSpec& aQueue,
               const JobTarget& aTarget,
               const HttpRequest& aRequest,
@@ -58,7 +69,7 @@
   /// A write of a job to the inbox, which is repeated while it is not known whether it took place.
   struct InboxWrite
   {
-    std::string m_job;
+    JobTarget m_target;
     platform::Transaction m_transaction;
     TimePoint m_callerDeadline{}; ///< The caller waits for the response until then.
     bool m_mayBeStored = false;   ///< By an attempt without an answer.
@@ -67,12 +78,19 @@
     TimerHandle m_retryTimer;
   };
 
-  void StoreInInbox(const std::string& aPool,
+  void StoreInInbox(const JobTarget& aTarget,
                     const job::JobRecord& aRecord,
                     bool aMayBeStored,
                     TimePoint aCallerDeadline,
                     HttpResponder aResponder);
   void CommitInboxWrite(const std::shared_ptr<InboxWrite>& aWrite);
+  /// Reads the job's account from the store and calls aThen when the caller may access the job.
+  /// Else sends the response; aIfUnknown replaces that for a job that cannot be read or is not
+  /// there. Reads nothing when accounts are not enforced.
+  void RequireAccess(const JobTarget& aTarget,
+                     HttpResponder aResponder,
+                     std::function<void()> aThen,
+                     const std::optional<HttpResponse>& aIfUnknown = std::nullopt);
   void SendJobState(const JobTarget& aTarget, HttpResponder aResponder);
   void SendJobStateFromStore(const JobTarget& aTarget, HttpResponder aResponder);
   void Cancel(const JobTarget& aTarget, HttpResponder aResponder);
@@ -88,6 +106,7 @@
   NodeContext& m_context;
   const Membership& m_membership;
   LocalOwner m_localOwner;
+  AccessGate m_accessGate;
   bool m_isStopping = false;
   bool m_isRefusing = false;
   /// Requests that came while the node was stopping, and whether they only read.
--- a/src/node/Membership.cpp
+++ b/src/node/Membership.cpp
@@ -323,6 +323,20 @@
   return aOwner.m_node == m_view.m_self && aOwner.m_incarnation == m_view.m_incarnation;
 }
 
+std::vector<std::string> Membership::LivePeers() const
+{
+  // While the store does not answer, no row changes, so silence is measured up to the last answer.
+  std::vector<std::string> after;
+  std::vector<std::string> before;
+  for (const auto& [name, node] : m_view.m_nodes) {
+    if (name != m_view.m_self && job::IsLive(node, m_nodesPolledAt)) {
+      (name > m_view.m_self ? after : before).push_back(node.m_address);
+    }
+  }
+  after.insert(after.end(), before.begin(), before.end());
+  return after;
+}
+
 std::string Membership::OwnerAddress(const std::string& aPool) const
 {
   const auto owner = m_view.m_owners.find(aPool);
--- a/src/node/Membership.h
+++ b/src/node/Membership.h
@@ -36,6 +36,9 @@
 
   /// Peer address of a pool's owner; empty when no owner is known.
   std::string OwnerAddress(const std::string& aPool) const;
+  /// Peer addresses of the other nodes that were live when the node table was last read, beginning
+  /// with the node whose name sorts after this one's, so that nodes do not all ask the same one.
+  std::vector<std::string> LivePeers() const;
   bool HasOwnerView() const { return m_ownerFollower && m_ownerFollower->IsUpToDate(); }
   /// Time of the store's latest response to this node.
   TimePoint StoreAnsweredAt() const { return m_storeAnsweredAt; }
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -9,6 +9,7 @@
 #include <asio/io_context.hpp>
 
 #include "mustardtray/connection/HttpClient.h"
+#include "mustardtray/job/AccountKeys.h"
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/Shards.h"
 #include "mustardtray/process/TimerService.h"
@@ -61,8 +62,24 @@
   job::Deployment m_deployment; ///< Version 0 until a configuration is known.
   job::ShardMap m_shards;
   WorkMeter m_work;
+  job::AccountKeys m_accountKeys{}; ///< Of m_deployment.
+  /// m_deployment was the newest configuration at this time of the lease clock.
+  TimePoint m_configurationConfirmedAt{};
 };
 
+/// Whether callers need API keys.
+inline bool AreAccountsEnforced(const NodeContext& aContext)
+{
+  return aContext.m_settings.m_hasAccounts || !aContext.m_deployment.m_accounts.empty();
+}
+
+/// Time since the configuration was last confirmed. It includes the time for which the machine was
+/// suspended.
+inline Millis ConfigurationAge(const NodeContext& aContext)
+{
+  return std::chrono::ceil<Millis>(LeaseClockNow() - aContext.m_configurationConfirmedAt);
+}
+
 // Tables in the store that only nodes use. The partition of a row is the pool shard it belongs to.
 inline constexpr const char* kShardTable = "shards"; ///< Number of shards of each pool.
 inline constexpr const char* kNodeTable = "node";
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -9,6 +9,7 @@
 #include "mustardtray/connection/HttpServer.h"
 #include "mustardtray/process/EventLoop.h"
 #include "mustardtray/process/Log.h"
+#include "node/ConfigurationRelay.h"
 #include "node/FleetOrderController.h"
 #include "node/JobGateway.h"
 #include "node/Membership.h"
@@ -36,6 +37,8 @@
 /// get no work after about two seconds.
 constexpr Millis kMinionPollInterval{ 350 };
 constexpr Millis kIdleTimeout{ 60'000 };
+/// Longest wait of one poll of the operator's rows where accounts are not enforced.
+constexpr Millis kOperatorPollWait{ 900 };
 constexpr Millis kPeerCallTimeout{ 600 };
 /// Time before the SIGKILL that follows SIGTERM; pending responses must have been sent by then.
 constexpr Millis kStopMargin{ 1'200 };
@@ -98,11 +101,13 @@
       MembershipCallbacks{ [this](const job::OwnerRow& aClaim) { OnClaimed(aClaim); },
                            [this](const std::string& aPool) { OnPoolLost(aPool); },
                            [this] { DropAllPools(); } });
-    m_gateway = std::make_unique<JobGateway>(
-      m_context, *m_membership, [this](const std::string& aPool) { return FindOwner(aPool); });
-    m_peerHandler =
-      std::make_unique<PeerHandler>([this](const std::string& aPool) { return FindOwner(aPool); },
-                                    [this] { m_membership->RequestDecision(); });
+    m_configurationRelay = std::make_unique<ConfigurationRelay>(
+      m_context, [this] { return m_membership->LivePeers(); }, [this] { OnNewConfiguration(); });
+    const auto findOwner = [this](const std::string& aPool) { return FindOwner(aPool); };
+    m_gateway =
+      std::make_unique<JobGateway>(m_context, *m_membership, *m_configurationRelay, findOwner);
+    m_peerHandler = std::make_unique<PeerHandler>(
+      findOwner, *m_configurationRelay, [this] { m_membership->RequestDecision(); });
     m_shardDirectory = std::make_unique<ShardDirectory>(m_context, [this] {
       m_membership->RequestDecision();
       // Minions may have registered before their pool's number of shards was known.
@@ -110,7 +115,7 @@
     });
     m_operatorFollower = std::make_unique<TableFollower>(
       m_context,
-      TableFollowerOptions{ platform::kOperatorTable, true, Millis{ 900 }, Millis{ 0 } },
+      TableFollowerOptions{ platform::kOperatorTable, true, OperatorPollWait(), Millis{ 0 } },
       [this](const std::vector<platform::Row>& aRows, bool) { OnOperatorRows(aRows); });
     WaitForSignal();
     Log(LogCategory::Process,
@@ -191,38 +196,22 @@
         continue;
       }
       if (row.m_rowId.m_key == platform::kDeploymentKey) {
-        OnDeployment(row);
+        m_configurationRelay->Apply(row.m_value, "store");
       } else if (row.m_rowId.m_key.starts_with(platform::kWaveKeyPrefix)) {
         OnWave(row);
       }
     }
+    m_configurationRelay->OnStoreAnswer(m_operatorFollower->AskedAt());
   }
 
-  void OnDeployment(const platform::Row& aRow)
+  Millis OperatorPollWait() const
   {
-    auto deployment = platform::DecodeDeployment(aRow.m_value);
-    if (!deployment) {
-      Log(LogCategory::Configuration,
-          LogLevel::Error,
-          "configuration-unreadable",
-          "version",
-          aRow.m_version,
-          "error",
-          deployment.error().Text());
-      return;
-    }
-    // Ignores older versions: a delayed response may be older than the current configuration.
-    if (deployment.value().m_version <= m_context.m_deployment.m_version) {
-      return;
-    }
-    m_context.m_deployment = std::move(deployment.value());
-    Log(LogCategory::Configuration,
-        LogLevel::Info,
-        "configuration-in-force",
-        "version",
-        m_context.m_deployment.m_version,
-        "queues",
-        m_context.m_deployment.m_queues.size());
+    return AreAccountsEnforced(m_context) ? kConfigurationPollWait : kOperatorPollWait;
+  }
+
+  void OnNewConfiguration()
+  {
+    m_operatorFollower->SetWait(OperatorPollWait());
     m_shardDirectory->FollowUntilComplete();
     m_membership->RequestDecision();
   }
@@ -444,6 +433,7 @@
   asio::signal_set m_signals;
   NodeMonitor m_monitor;
   std::unique_ptr<Membership> m_membership;
+  std::unique_ptr<ConfigurationRelay> m_configurationRelay;
   std::unique_ptr<JobGateway> m_gateway;
   std::unique_ptr<PeerHandler> m_peerHandler;
   std::unique_ptr<ShardDirectory> m_shardDirectory;
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -4,8 +4,11 @@
 
 namespace mustardtray::node {
 
-PeerHandler::PeerHandler(LocalOwner aLocalOwner, std::function<void()> aOnReleased)
+PeerHandler::PeerHandler(LocalOwner aLocalOwner,
+                         const ConfigurationRelay& aRelay,
+                         std::function<void()> aOnReleased)
   : m_localOwner(std::move(aLocalOwner))
+  , m_relay(aRelay)
   , m_onReleased(std::move(aOnReleased))
 {
 }
@@ -16,6 +19,8 @@
     HandleSubmit(aRequest, std::move(aResponder));
   } else if (aRequest.m_path == kPeerFleetPath) {
     HandleFleetSync(aRequest, aResponder);
+  } else if (aRequest.m_path == kPeerConfigurationPath) {
+    aResponder.Send(JsonResponse(200, m_relay.AnswerPeer(aRequest.m_body)));
   } else if (aRequest.m_path == kPeerReleasedPath) {
     m_onReleased();
     aResponder.Send(JsonResponse(200, "{}"));
@@ -64,6 +69,11 @@
   }
   JobQueryResult result;
   result.m_isOwner = true;
+  if (owner->IsForbidden(query.value().m_job, query.value().m_caller)) {
+    result.m_isForbidden = true;
+    aResponder.Send(JsonResponse(200, EncodeJobQueryResult(result)));
+    return;
+  }
   if (aRequest.m_path == kPeerCancelPath) {
     owner->Cancel(query.value().m_job,
                   [responder = std::move(aResponder)](std::optional<bool> aIsKnown) {
--- a/src/node/PeerHandler.h
+++ b/src/node/PeerHandler.h
@@ -14,7 +14,9 @@
 {
 public:
   /// aOnReleased: called when another node has released a pool, possibly to this node.
-  PeerHandler(LocalOwner aLocalOwner, std::function<void()> aOnReleased);
+  PeerHandler(LocalOwner aLocalOwner,
+              const ConfigurationRelay& aRelay,
+              std::function<void()> aOnReleased);
 
   void Handle(const HttpRequest& aRequest, HttpResponder aResponder);
 
@@ -24,6 +26,7 @@
   void HandleJobQuery(const HttpRequest& aRequest, HttpResponder aResponder);
 
   LocalOwner m_localOwner;
+  const ConfigurationRelay& m_relay;
   std::function<void()> m_onReleased;
 };
 
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -13,6 +13,7 @@
     std::pair{ node::SubmitOutcome::Accepted, std::string_view("accepted") },
     std::pair{ node::SubmitOutcome::Refused, std::string_view("refused") },
     std::pair{ node::SubmitOutcome::NotOwner, std::string_view("not-owner") },
+    std::pair{ node::SubmitOutcome::Forbidden, std::string_view("forbidden") },
     std::pair{ node::SubmitOutcome::Unknown, std::string_view("unknown") },
   };
 };
@@ -97,17 +98,21 @@
 
 std::string EncodeJobQuery(const JobQuery& aQuery)
 {
-  return json{
-    { "pool", aQuery.m_pool }, { "job", aQuery.m_job }, { "queue", aQuery.m_queue }
-  }.dump();
+  json out{ { "pool", aQuery.m_pool }, { "job", aQuery.m_job }, { "queue", aQuery.m_queue } };
+  if (aQuery.m_caller.m_isChecked) {
+    out["account"] = aQuery.m_caller.m_account;
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 Result<JobQuery> DecodeJobQuery(const std::string& aText)
 {
   return Parse<JobQuery>(aText, [](const json& aIn) {
+    const bool isChecked = aIn.contains("account");
     return JobQuery{ aIn.at("pool").get<std::string>(),
                      aIn.at("job").get<std::string>(),
-                     aIn.at("queue").get<std::string>() };
+                     aIn.at("queue").get<std::string>(),
+                     { isChecked, aIn.value("account", std::string{}) } };
   });
 }
 
@@ -117,7 +122,8 @@
     { "owner", aQueryResult.m_isOwner },
     { "known", aQueryResult.m_isKnown },
     { "state", ToName(aQueryResult.m_state) },
-    { "waiting", aQueryResult.m_waiting }
+    { "waiting", aQueryResult.m_waiting },
+    { "forbidden", aQueryResult.m_isForbidden }
   }.dump();
 }
 
@@ -130,6 +136,8 @@
     queryResult.m_state =
       FromName<job::JobState>(aIn.at("state").get<std::string>()).value_or(job::JobState::Queued);
     queryResult.m_waiting = aIn.at("waiting").get<std::size_t>();
+    // A node of an earlier release does not send it.
+    queryResult.m_isForbidden = aIn.value("forbidden", false);
     return queryResult;
   });
 }
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -5,10 +5,14 @@
 #include <set>
 #include <string>
 
+#include "mustardtray/job/AccountKeys.h"
 #include "node/PoolOwner.h"
 
 namespace mustardtray::node {
 
+/// Path of the request for the configuration; see ConfigurationRelay.
+inline constexpr const char* kPeerConfigurationPath = "/peer/configuration";
+
 /// Builds a call to another node. The timeout also limits connecting.
 HttpCall MakePeerCall(const std::string& aAddress,
                       const char* aPath,
@@ -32,6 +36,7 @@
   std::string m_pool;
   std::string m_job;
   std::string m_queue;
+  job::Caller m_caller; ///< A node of an earlier release sends none, which counts as not checked.
 };
 std::string EncodeJobQuery(const JobQuery& aQuery);
 Result<JobQuery> DecodeJobQuery(const std::string& aText);
@@ -43,6 +48,7 @@
   bool m_isKnown = false;
   job::JobState m_state = job::JobState::Queued;
   std::size_t m_waiting = 0;
+  bool m_isForbidden = false; ///< The job belongs to another account; nothing was done.
 };
 std::string EncodeJobQueryResult(const JobQueryResult& aQueryResult);
 Result<JobQueryResult> DecodeJobQueryResult(const std::string& aText);
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -61,8 +61,12 @@
     return;
   }
   const std::string id = aRecord.m_id;
+  if (IsForbidden(id, { AreAccountsEnforced(m_context), aRecord.m_account })) {
+    aDone({ SubmitOutcome::Forbidden, Millis{ 0 } });
+    return;
+  }
   if (const auto pending = m_pendingSubmissions.find(id); pending != m_pendingSubmissions.end()) {
-    pending->second.push_back(std::move(aDone));
+    pending->second.m_callbacks.push_back(std::move(aDone));
     return;
   }
   if (m_scheduler.FindJob(id)) {
@@ -109,7 +113,7 @@
   }
   aRecord.m_epoch = m_claim.m_epoch;
   aRecord.m_acceptedAt -= waited;
-  m_pendingSubmissions[id].push_back(std::move(aDone));
+  m_pendingSubmissions[id] = { aRecord.m_account, { std::move(aDone) } };
   std::string value = job::EncodeJobRecord(aRecord);
   m_batchWriter.Put(kJobTable,
                     id,
@@ -123,7 +127,7 @@
                         return;
                       }
                       const std::vector<SubmitCallback> callbacks =
-                        std::move(m_pendingSubmissions[id]);
+                        std::move(m_pendingSubmissions[id].m_callbacks);
                       m_pendingSubmissions.erase(id);
                       if (aOutcome == WriteOutcome::Saved) {
                         AddJob(record, isLate);
@@ -134,6 +138,15 @@
                     });
 }
 
+bool PoolOwner::IsForbidden(const std::string& aId, const job::Caller& aCaller) const
+{
+  if (const auto pending = m_pendingSubmissions.find(aId); pending != m_pendingSubmissions.end()) {
+    return !aCaller.MayAccess(pending->second.m_account);
+  }
+  const job::Job* job = m_scheduler.FindJob(aId);
+  return job && !aCaller.MayAccess(job->m_record.m_account);
+}
+
 void PoolOwner::Cancel(const std::string& aId, std::function<void(std::optional<bool>)> aDone)
 {
   if (!IsAuthoritative() || m_isDraining) {
@@ -234,6 +247,14 @@
     RemoveFromInbox(aId);
     return;
   }
+  if (const auto pending = m_pendingSubmissions.find(aId); pending != m_pendingSubmissions.end()) {
+    pending->second.m_callbacks.push_back([this, aId](SubmitResult aResult) {
+      if (aResult.m_outcome == SubmitOutcome::Accepted) {
+        RemoveFromInbox(aId);
+      }
+    });
+    return;
+  }
   auto record = job::DecodeJobRecord(aValue);
   if (!record) {
     Log(LogCategory::Placement,
@@ -247,16 +268,26 @@
   }
   record.value().m_epoch = m_claim.m_epoch;
   Log(LogCategory::Placement, LogLevel::Info, "job-admitted", "job", aId, "from", "inbox");
+  // A submission of the same id must neither be judged nor stored while this one is being written.
+  m_pendingSubmissions[aId] = { record.value().m_account, {} };
   m_batchWriter.Put(
     kJobTable,
     aId,
     job::EncodeJobRecord(record.value()),
     [this, record = record.value(), alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
-      if (alive.expired() || aOutcome != WriteOutcome::Saved) {
+      if (alive.expired()) {
         return;
       }
-      AddJob(record, false);
-      RemoveFromInbox(record.m_id);
+      const std::vector<SubmitCallback> callbacks =
+        std::move(m_pendingSubmissions[record.m_id].m_callbacks);
+      m_pendingSubmissions.erase(record.m_id);
+      if (aOutcome == WriteOutcome::Saved) {
+        AddJob(record, false);
+        RemoveFromInbox(record.m_id);
+      }
+      for (const SubmitCallback& callback : callbacks) {
+        callback({ SubmitOutcomeOf(aOutcome), Millis{ 0 } });
+      }
     });
 }
 
@@ -282,69 +313,6 @@
   }
 }
 
-void PoolOwner::RecordMinion(const std::string& aId)
-{
-  const auto found = m_scheduler.Minions().find(aId);
-  if (found == m_scheduler.Minions().end() || m_pendingRecords.contains(aId)) {
-    return;
-  }
-  const job::MinionState& minion = found->second;
-  if (!minion.m_isRegistered || minion.m_isRecorded || minion.m_isReleased ||
-      minion.m_isLeaseFinal) {
-    return;
-  }
-  const std::uint64_t number = ++m_lastRecordNumber;
-  m_pendingRecords[aId] = number;
-  // A removal that replaces this write runs its callback, too.
-  m_batchWriter.Put(
-    kUsedMinionTable,
-    aId,
-    EncodeUsedMinion({ minion.m_entry, {} }),
-    [this, aId, number, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
-      if (alive.expired() || aOutcome != WriteOutcome::Saved) {
-        return;
-      }
-      const auto pending = m_pendingRecords.find(aId);
-      if (pending == m_pendingRecords.end() || pending->second != number) {
-        return; // The record has been removed since.
-      }
-      m_pendingRecords.erase(pending);
-      const auto minion = m_scheduler.Minions().find(aId);
-      if (minion != m_scheduler.Minions().end()) {
-        minion->second.m_isRecorded = true;
-        RequestDecision();
-      }
-    });
-}
-
-void PoolOwner::RemoveRecord(const std::string& aId)
-{
-  m_pendingRecords.erase(aId);
-  m_batchWriter.Put(kUsedMinionTable, aId, std::nullopt, [](WriteOutcome) {});
-}
-
-void PoolOwner::RemoveRecordsOfDrained()
-{
-  for (const std::string& id : m_scheduler.TakeDrainedMinions()) {
-    RemoveRecord(id);
-  }
-}
-
-void PoolOwner::RecordFinalLeases()
-{
-  const TimePoint now = LeaseClockNow();
-  for (const std::string& id : m_scheduler.EndLeasesOfUnresponsive()) {
-    const job::MinionState& minion = m_scheduler.Minions().at(id);
-    const Millis left = std::chrono::ceil<Millis>(minion.m_leaseEnd - now);
-    m_batchWriter.Put(
-      kUsedMinionTable,
-      id,
-      EncodeUsedMinion(
-        { minion.m_entry, FinalLease{ m_claim.m_epoch, std::max(left, Millis{ 0 }) } }),
-      [](WriteOutcome) {});
-  }
-}
-
 void PoolOwner::OnMachineIncarnation(const job::MachineIncarnation& aIncarnation)
 {
   if (!m_isLoaded) {
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -21,10 +21,11 @@
 
 enum class SubmitOutcome
 {
-  Accepted, ///< The job is stored, or was known already.
-  Refused,  ///< The job is not stored, and this attempt never will store it.
-  NotOwner, ///< This node does not own the pool; nothing was done.
-  Unknown,  ///< The job may have been stored.
+  Accepted,  ///< The job is stored, or was known already.
+  Refused,   ///< The job is not stored, and this attempt never will store it.
+  Forbidden, ///< The id is that of another account's job; nothing was done.
+  NotOwner,  ///< This node does not own the pool; nothing was done.
+  Unknown,   ///< The job may have been stored.
 };
 
 struct SubmitResult
@@ -67,6 +68,8 @@
   /// Cancels a job. aDone gets true when the job's end or its cancel is stored, false when the job
   /// is not known, and an empty value when neither can be told now.
   void Cancel(const std::string& aId, std::function<void(std::optional<bool>)> aDone);
+  /// Whether the job is known and the caller may neither read nor cancel it.
+  bool IsForbidden(const std::string& aId, const job::Caller& aCaller) const;
   const job::PoolScheduler& Scheduler() const { return m_scheduler; }
 
   void OnMinionEntry(const job::MinionEntry& aEntry);
@@ -129,8 +132,13 @@
   /// Numbers of the writes that record a minion, until they are saved or the record is removed.
   std::map<std::string, std::uint64_t> m_pendingRecords;
   std::uint64_t m_lastRecordNumber = 0;
+  struct PendingSubmission
+  {
+    std::string m_account;
+    std::vector<SubmitCallback> m_callbacks;
+  };
   /// Jobs that are being written to the store.
-  std::map<std::string, std::vector<SubmitCallback>> m_pendingSubmissions;
+  std::map<std::string, PendingSubmission> m_pendingSubmissions;
   std::map<std::string, std::string> m_loadedJobs;
   std::map<std::string, std::string> m_loadedProgress;
   /// Time of the first attempt, by refused job.
--- /dev/null
+++ b/src/node/PoolOwnerRecords.cpp
@@ -0,0 +1,72 @@
+#include "node/PoolOwner.h"
+
+#include <algorithm>
+
+/// Records of the minions that may run work of the pool, for the next owner.
+
+namespace mustardtray::node {
+
+void PoolOwner::RecordMinion(const std::string& aId)
+{
+  const auto found = m_scheduler.Minions().find(aId);
+  if (found == m_scheduler.Minions().end() || m_pendingRecords.contains(aId)) {
+    return;
+  }
+  const job::MinionState& minion = found->second;
+  if (!minion.m_isRegistered || minion.m_isRecorded || minion.m_isReleased ||
+      minion.m_isLeaseFinal) {
+    return;
+  }
+  const std::uint64_t number = ++m_lastRecordNumber;
+  m_pendingRecords[aId] = number;
+  // A removal that replaces this write runs its callback, too.
+  m_batchWriter.Put(
+    kUsedMinionTable,
+    aId,
+    EncodeUsedMinion({ minion.m_entry, {} }),
+    [this, aId, number, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
+      if (alive.expired() || aOutcome != WriteOutcome::Saved) {
+        return;
+      }
+      const auto pending = m_pendingRecords.find(aId);
+      if (pending == m_pendingRecords.end() || pending->second != number) {
+        return; // The record has been removed since.
+      }
+      m_pendingRecords.erase(pending);
+      const auto minion = m_scheduler.Minions().find(aId);
+      if (minion != m_scheduler.Minions().end()) {
+        minion->second.m_isRecorded = true;
+        RequestDecision();
+      }
+    });
+}
+
+void PoolOwner::RemoveRecord(const std::string& aId)
+{
+  m_pendingRecords.erase(aId);
+  m_batchWriter.Put(kUsedMinionTable, aId, std::nullopt, [](WriteOutcome) {});
+}
+
+void PoolOwner::RemoveRecordsOfDrained()
+{
+  for (const std::string& id : m_scheduler.TakeDrainedMinions()) {
+    RemoveRecord(id);
+  }
+}
+
+void PoolOwner::RecordFinalLeases()
+{
+  const TimePoint now = LeaseClockNow();
+  for (const std::string& id : m_scheduler.EndLeasesOfUnresponsive()) {
+    const job::MinionState& minion = m_scheduler.Minions().at(id);
+    const Millis left = std::chrono::ceil<Millis>(minion.m_leaseEnd - now);
+    m_batchWriter.Put(
+      kUsedMinionTable,
+      id,
+      EncodeUsedMinion(
+        { minion.m_entry, FinalLease{ m_claim.m_epoch, std::max(left, Millis{ 0 }) } }),
+      [](WriteOutcome) {});
+  }
+}
+
+} // namespace mustardtray::node
--- a/src/node/TableFollower.cpp
+++ b/src/node/TableFollower.cpp
@@ -54,6 +54,7 @@
   m_rows.clear();
   m_partitionsToRead.clear();
   m_version = 0;
+  m_askedAt = LeaseClockNow();
   if (m_options.m_hasSinglePartition) {
     m_partitionsToRead.emplace_back();
     ReadNextPartition();
@@ -155,12 +156,13 @@
 
 void TableFollower::Follow()
 {
+  const TimePoint askedAt = LeaseClockNow();
   m_context.m_store.Follow(
     m_options.m_table,
     m_version,
     m_options.m_wait,
     m_options.m_wait + kPollTimeoutMargin,
-    [this, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
+    [this, askedAt, alive = std::weak_ptr<int>(m_alive)](Result<platform::RowPage> aPage) {
       if (alive.expired()) {
         return;
       }
@@ -187,6 +189,7 @@
         return;
       }
       m_version = std::max(m_version, page.m_version);
+      m_askedAt = askedAt;
       m_callback(page.m_rows, false);
       if (alive.expired()) {
         return;
--- a/src/node/TableFollower.h
+++ b/src/node/TableFollower.h
@@ -37,6 +37,11 @@
 
   /// Changes TableFollowerOptions::m_pollInterval, from the next poll on.
   void SetPollInterval(Millis aInterval) { m_options.m_pollInterval = aInterval; }
+  /// Changes TableFollowerOptions::m_wait, from the next poll on.
+  void SetWait(Millis aWait) { m_options.m_wait = aWait; }
+  /// When the call was sent whose answer is reported: the rows are at least as new as that. For all
+  /// rows of a table, when the first of the calls was sent.
+  TimePoint AskedAt() const { return m_askedAt; }
   /// Whether all rows have been read and changes are being followed.
   bool IsUpToDate() const { return m_isUpToDate; }
 
@@ -58,6 +63,7 @@
   std::vector<std::string> m_partitionsToRead;
   std::vector<platform::Row> m_rows;
   std::uint64_t m_version = 0;
+  TimePoint m_askedAt{};
   bool m_isUpToDate = false;
   bool m_isStoreUnreachable = false;
 };
--- a/tests/node/JobGatewayTest.cpp
+++ b/tests/node/JobGatewayTest.cpp
@@ -27,7 +27,11 @@
     : m_store(m_io, m_timers)
     , m_node(m_io, m_timers, MakeSettings(m_store.Port()))
     , m_membership(m_node.m_context, "127.0.0.1:1", { [](const job::OwnerRow&) {}, {}, [] {} })
-    , m_gateway(m_node.m_context, m_membership, [](const std::string&) { return nullptr; })
+    , m_relay(
+        m_node.m_context,
+        [] { return std::vector<std::string>{}; },
+        [] {})
+    , m_gateway(m_node.m_context, m_membership, m_relay, [](const std::string&) { return nullptr; })
   {
     job::QueueSpec queue;
     queue.m_host = "jobs";
@@ -97,6 +101,7 @@
   soak::RowStoreStandin m_store;
   NodeFixture m_node;
   Membership m_membership;
+  ConfigurationRelay m_relay;
   JobGateway m_gateway;
 };
 
