--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -40,6 +40,7 @@
     m_gpu -= aOther.m_gpu;
     return *this;
   }
+  bool operator==(const Resources&) const = default;
 };
 
 struct StepSpec
@@ -68,6 +69,12 @@
   {
     return m_isBestEffort ? Resources{ 0, m_need.m_memoryMb, m_need.m_gpu } : m_need;
   }
+  /// Returns the resources that one unit uses, or all units together.
+  Resources TotalNeed(bool aOfAllUnits) const
+  {
+    const std::int64_t units = aOfAllUnits ? m_count : 1;
+    return { m_need.m_cpu * units, m_need.m_memoryMb * units, m_need.m_gpu * units };
+  }
 };
 
 /// Limits the memory that one job takes in a node: units of a job, and units of a repeated job
--- a/include/mustardtray/job/Shards.h
+++ b/include/mustardtray/job/Shards.h
@@ -23,6 +23,12 @@
 public:
   void Set(const std::string& aPool, std::size_t aShards) { m_shards[aPool] = aShards; }
   bool Knows(const std::string& aPool) const { return m_shards.contains(aPool); }
+  /// Returns the number of a pool's shards; 0 for an unknown pool.
+  std::size_t Count(const std::string& aPool) const
+  {
+    const auto found = m_shards.find(aPool);
+    return found == m_shards.end() ? 0 : found->second;
+  }
   /// Returns the names of a pool's shards: the pool's own name for a single shard, none for an
   /// unknown pool.
   std::vector<std::string> Names(const std::string& aPool) const;
