Node, job: start units of an account only within its allowance

Cause: limits of client accounts were decoded, but nothing kept to them. Change: the scheduler asks AllowanceBook before each start of a unit or gang. All runs, runs being stopped and dropped runs with open start orders of known jobs count as used. Steps that wait for their account do not keep others from starting and do not request machines. Owners report with their fleet report, grants travel with the restrictions; without accounts neither message has a new member. A unit or gang beyond its account's limit is refused with status 400 and the reason. The controller's function that calls an owner takes a FleetSyncRequest now, so two test fixtures follow.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -13,6 +13,7 @@
 
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
+#include "mustardtray/job/AllowanceBook.h"
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
@@ -140,6 +141,22 @@
   /// Called when the store has the job's progress up to a revision.
   void OnProgressSaved(const std::string& aId, std::uint64_t aRevision);
 
+  // Client accounts.
+
+  /// Sets the accounts of the configuration in force.
+  void SetAccounts(const std::vector<AccountSpec>& aAccounts);
+  /// Sets the first attempts per second of each account in all shards.
+  void SetAccountRates(const std::map<std::string, double>& aRates, TimePoint aNow);
+  /// aShards: of all pools; 0 while it is not known.
+  void SetAccountShards(std::size_t aShards) { m_allowances.SetShards(aShards); }
+  /// aOwner: token of this owner's claim.
+  void ApplyAccountGrants(const AccountGrants& aGrants, std::uint64_t aOwner, TimePoint aNow);
+  /// Returns what the accounts use and want; an empty report when there are no accounts.
+  AccountReport ReportAccounts(std::uint64_t aOwner, TimePoint aNow);
+  /// See job::DescribeLimitError().
+  std::string DescribeLimitError(const JobRecord& aRecord) const;
+  const AllowanceBook& Allowances() const { return m_allowances; }
+
   // Minions.
 
   void UpdateMinion(const MinionEntry& aEntry, TimePoint aNow);
@@ -293,6 +310,12 @@
   /// aMayUseCordoned: see PlacementRequest::m_mayUseCordoned.
   bool PlaceUnits(QueuedStep& aQueued, bool aMayUseCordoned, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
+  /// Returns what each account has running and what may still be started for it.
+  std::map<std::string, Resources> MeasureAccountUse() const;
+  /// Brings the use in the book of allowances up to date.
+  void CountAccountUse(TimePoint aNow);
+  /// Whether the next unit of the step, or its gang, exceeds the allowance of its account.
+  bool WaitsForAllowance(const QueuedStep& aQueued) const;
   /// Returns the placement constraints for the units of a step.
   PlacementRequest RequestFor(const QueuedStep& aQueued) const;
   /// Requests advice about the minions on which the step would be placed next.
@@ -378,6 +401,10 @@
   ArrivalRate m_arrivals;
   AdviceCache m_advice;
   CrashHistory m_crashHistory;
+  std::vector<AccountSpec> m_accounts;
+  AllowanceBook m_allowances;
+  std::map<std::string, double> m_accountRates; ///< First attempts per second in all shards.
+  TimePoint m_accountRatesAt{};                 ///< When the rates were set.
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
   PoolOrders m_orders;
 };
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -88,6 +88,9 @@
       return aLeft.m_rank < aRight.m_rank;
     });
   HoldMinionsForIsolation(aNow);
+  if (m_allowances.HasLimits() && !m_queued.empty()) {
+    CountAccountUse(aNow);
+  }
   std::vector<QueuedStep> remaining;
   std::vector<Resources> unplaceable;
   std::optional<std::vector<PlaceClaim>> claims;
@@ -123,7 +126,8 @@
       }
       const bool isUnconstrained = !isBlocked && !needsAdvice && !spec.m_isGang &&
                                    spec.m_requiredLabel.empty() && spec.m_maxPerMinion == 0 &&
-                                   !hasIsolatedUnit && !HasUnsavedFailure(queued);
+                                   !hasIsolatedUnit && !HasUnsavedFailure(queued) &&
+                                   !WaitsForAllowance(queued);
       if (isUnconstrained) {
         unplaceable.push_back(need);
       }
@@ -205,6 +209,9 @@
       isComplete = false;
       continue;
     }
+    if (!m_allowances.Permits(job.m_record.m_account, aQueued.Spec().m_need)) {
+      return false;
+    }
     request.m_lastFailedMinion = unit.m_lastFailedOn.empty() ? nullptr : &unit.m_lastFailedOn;
     const bool canStart = ApplyCrashes(request, aQueued, i, aNow);
     if (!canStart || (isFull && !request.m_isIsolated)) {
@@ -234,7 +241,8 @@
     return true;
   }
   PlacementRequest request = RequestFor(aQueued);
-  if (!ApplyCrashes(request, aQueued, 0, aNow)) {
+  if (!m_allowances.Permits(job.m_record.m_account, spec.TotalNeed(true)) ||
+      !ApplyCrashes(request, aQueued, 0, aNow)) {
     return false;
   }
   std::uint32_t run = 0;
@@ -281,6 +289,7 @@
   Unit& unit = aQueued.State().m_units[aIndex];
   const UnitId id{ job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step, aIndex };
   const std::string name = id.Text();
+  m_allowances.OnStart(job.m_record.m_account, spec.m_need);
   Run newRun = MakeRun(id, aRun, &spec, aNow);
   newRun.m_isSuspect = IsSuspect(job, id);
   newRun.m_isIsolated = MustIsolate(job, id);
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -40,6 +40,9 @@
     }
   }
   for (const QueuedStep& queued : m_queued) {
+    if (WaitsForAllowance(queued)) {
+      continue; // More machines would not help it.
+    }
     load.m_waitingCpu += queued.Spec().Reserved().m_cpu * CountWaiting(queued);
     load.m_lacksMemory =
       load.m_lacksMemory || (!queued.Spec().m_isLongRunning && LacksMemory(queued.Spec(), aNow));
--- a/src/node/FleetOrderController.cpp
+++ b/src/node/FleetOrderController.cpp
@@ -78,6 +78,7 @@
       { aContext.m_settings.m_bounds.m_upkeepTime, aContext.m_settings.m_bounds.m_moveTime })
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
   , m_reader(aContext, aClaim.m_pool, m_batchWriter)
+  , m_allowancePlanner(aClaim.m_version)
   , m_announcedOrders(aContext.m_settings.m_bounds.m_machineOrderLease + kOrderMargin, kCallTimeout)
 {
   LoadState();
@@ -173,6 +174,7 @@
       shards.insert(shards.end(), names.begin(), names.end());
     }
   }
+  PlanAllowances(shards);
   const Millis syncInterval{ static_cast<Millis::rep>(shards.size() * 1'000 / kMaxSyncsPerSecond) };
   m_cordonTime = std::max(job::kMinCordonTime, kSyncsPerCordon * (syncInterval + kPlanPeriod));
   for (const std::string& shard : shards) {
@@ -244,6 +246,7 @@
       "longest-ms",
       std::chrono::duration_cast<Millis>(m_syncCounts.m_longest).count());
   m_syncCounts = {};
+  LogAllowances();
   std::size_t logged = 0;
   for (const job::ShardBalance& balance : aBalances) {
     std::pair<std::size_t, std::size_t>& last = m_loggedBalances[balance.m_shard];
@@ -276,8 +279,7 @@
   restrictions.m_cordonTime = m_cordonTime;
   m_planner.OnRestrictionsSent(aPool, restrictions);
   m_syncPool(
-    aPool,
-    restrictions,
+    { aPool, restrictions, m_allowancePlanner.GrantsFor(aPool) },
     [this, aPool, askedAt, alive = std::weak_ptr<int>(m_alive)](Result<FleetReport> aReport) {
       if (alive.expired()) {
         return;
@@ -294,6 +296,7 @@
         return;
       }
       FleetReport& report = aReport.value();
+      m_allowancePlanner.OnReport(aPool, report.m_accounts, now);
       m_planner.SetReport(aPool,
                           { report.m_load,
                             { report.m_drainedMachines.begin(), report.m_drainedMachines.end() },
--- a/src/node/FleetOrderController.h
+++ b/src/node/FleetOrderController.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "mustardtray/job/AllowancePlanner.h"
 #include "mustardtray/job/AnnouncedOrders.h"
 #include "mustardtray/job/FleetPlanner.h"
 #include "mustardtray/job/Ownership.h"
@@ -19,10 +20,8 @@
 
 namespace mustardtray::node {
 
-/// Sends the restrictions of machines to the pool's owner, on this node or another, and passes on
-/// the owner's report.
-using SyncPoolFunction = std::function<void(const std::string& aPool,
-                                            const job::MachineRestrictions& aRestrictions,
+/// Sends a request to the pool's owner, on this node or another, and passes on the owner's report.
+using SyncPoolFunction = std::function<void(const FleetSyncRequest& aRequest,
                                             std::function<void(Result<FleetReport>)> aDone)>;
 
 /// Called with each complete list of machines.
@@ -59,6 +58,10 @@
   bool HasValidReport(const std::string& aPool) const;
   /// Logs the shards whose number of machines or of wanted machines has changed.
   void LogBalances(const std::vector<job::ShardBalance>& aBalances);
+  /// Divides the limits of client accounts among the shards of all pools.
+  void PlanAllowances(const std::vector<std::string>& aShards);
+  /// Logs the accounts that want most in relation to their limits.
+  void LogAllowances() const;
   /// Sends the cordons to the pool's owner. Its report is planned with soon.
   void SyncPool(const std::string& aPool);
   void SendOrder(const job::MachineOrder& aOrder);
@@ -89,8 +92,10 @@
   PartitionReader m_reader;
   std::map<std::uint64_t, std::set<std::string>> m_startedMachinesByWave;
   std::vector<job::WaveRequest> m_deferredWaves;
-  job::FleetPlan m_plan;    ///< The latest one.
-  TimePoint m_nextPlanAt{}; ///< Earliest time of a plan between two periodic ones.
+  job::AllowancePlanner m_allowancePlanner;
+  std::uint64_t m_accountsVersion = 0; ///< Configuration whose accounts the planner knows.
+  job::FleetPlan m_plan;               ///< The latest one.
+  TimePoint m_nextPlanAt{};            ///< Earliest time of a plan between two periodic ones.
   std::map<std::string, TimePoint> m_reportValidUntil; ///< By pool; see kReportValidity.
   Millis m_cordonTime = job::kMinCordonTime;           ///< See job::MachineRestrictions.
   std::set<std::string> m_pendingSyncs;
--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -1,5 +1,7 @@
 #include "node/JobGateway.h"
 
+#include <nlohmann/json.hpp>
+
 #include "mustardtray/process/Log.h"
 #include "node/RowParts.h"
 #include "platform/Messages.h"
@@ -164,7 +166,16 @@
         case SubmitOutcome::Refused:
           responder.Send(Refusal(429, aResult.m_retryAfter, "the queue is full"));
           return;
+        case SubmitOutcome::Invalid:
+          responder.Send(JsonResponse(400, nlohmann::json{ { "error", aResult.m_reason } }.dump()));
+          return;
         case SubmitOutcome::NotOwner:
+          if (std::string reason =
+                job::DescribeLimitError(m_context.m_deployment.m_accounts, record);
+              !reason.empty()) {
+            responder.Send(JsonResponse(400, nlohmann::json{ { "error", reason } }.dump()));
+            return;
+          }
           StoreInInbox(pool, record, false, deadline, responder);
           return;
         case SubmitOutcome::Unknown:
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -301,10 +301,8 @@
       m_orderController = std::make_unique<FleetOrderController>(
         m_context,
         aClaim,
-        [this](const std::string& aPool,
-               const job::MachineRestrictions& aRestrictions,
-               std::function<void(Result<FleetReport>)> aDone) {
-          SyncPool(aPool, aRestrictions, std::move(aDone));
+        [this](const FleetSyncRequest& aRequest, std::function<void(Result<FleetReport>)> aDone) {
+          SyncPool(aRequest, std::move(aDone));
         },
         [this](const std::vector<job::Machine>& aMachines) {
           m_shardDirectory->WriteMissing(aMachines);
@@ -341,21 +339,20 @@
 
   // Peers.
 
-  void SyncPool(const std::string& aPool,
-                const job::MachineRestrictions& aRestrictions,
-                std::function<void(Result<FleetReport>)> aDone)
+  void SyncPool(const FleetSyncRequest& aRequest, std::function<void(Result<FleetReport>)> aDone)
   {
-    if (PoolOwner* owner = FindOwner(aPool); owner && owner->IsKeepingPool()) {
-      aDone(owner->ApplyRestrictions(aRestrictions));
+    const std::string& pool = aRequest.m_pool;
+    if (PoolOwner* owner = FindOwner(pool); owner && owner->IsKeepingPool()) {
+      aDone(owner->ApplyRestrictions(aRequest.m_restrictions, aRequest.m_grants));
       return;
     }
-    const std::string address = m_membership->OwnerAddress(aPool);
+    const std::string address = m_membership->OwnerAddress(pool);
     if (address.empty()) {
-      aDone(Error{ ErrorKind::Unavailable, "query pool owner", aPool, "no owner is known" });
+      aDone(Error{ ErrorKind::Unavailable, "query pool owner", pool, "no owner is known" });
       return;
     }
-    HttpCall call = MakePeerCall(
-      address, kPeerFleetPath, EncodeFleetSyncRequest({ aPool, aRestrictions }), kPeerCallTimeout);
+    HttpCall call =
+      MakePeerCall(address, kPeerFleetPath, EncodeFleetSyncRequest(aRequest), kPeerCallTimeout);
     m_http.Start(std::move(call), [address, done = std::move(aDone)](HttpCallResult aResult) {
       if (!aResult) {
         done(aResult.error().m_error);
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -50,8 +50,9 @@
     aResponder.Send(JsonResponse(409, R"({"error":"not the owner"})"));
     return;
   }
-  aResponder.Send(
-    JsonResponse(200, EncodeFleetReport(owner->ApplyRestrictions(query.value().m_restrictions))));
+  aResponder.Send(JsonResponse(200,
+                               EncodeFleetReport(owner->ApplyRestrictions(
+                                 query.value().m_restrictions, query.value().m_grants))));
 }
 
 void PeerHandler::HandleJobQuery(const HttpRequest& aRequest, HttpResponder aResponder)
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -12,6 +12,7 @@
   static constexpr std::array kTable{
     std::pair{ node::SubmitOutcome::Accepted, std::string_view("accepted") },
     std::pair{ node::SubmitOutcome::Refused, std::string_view("refused") },
+    std::pair{ node::SubmitOutcome::Invalid, std::string_view("invalid") },
     std::pair{ node::SubmitOutcome::NotOwner, std::string_view("not-owner") },
     std::pair{ node::SubmitOutcome::Unknown, std::string_view("unknown") },
   };
@@ -79,9 +80,12 @@
 
 std::string EncodeSubmitResult(const SubmitResult& aResult)
 {
-  return json{
-    { "outcome", ToName(aResult.m_outcome) }, { "retry-ms", aResult.m_retryAfter.count() }
-  }.dump();
+  json out{ { "outcome", ToName(aResult.m_outcome) },
+            { "retry-ms", aResult.m_retryAfter.count() } };
+  if (!aResult.m_reason.empty()) {
+    out["reason"] = aResult.m_reason;
+  }
+  return out.dump();
 }
 
 Result<SubmitResult> DecodeSubmitResult(const std::string& aText)
@@ -91,6 +95,7 @@
     result.m_outcome = FromName<SubmitOutcome>(aIn.at("outcome").get<std::string>())
                          .value_or(SubmitOutcome::Unknown);
     result.m_retryAfter = Millis(aIn.at("retry-ms").get<Millis::rep>());
+    result.m_reason = aIn.value("reason", std::string{});
     return result;
   });
 }
@@ -136,12 +141,12 @@
 
 std::string EncodeFleetSyncRequest(const FleetSyncRequest& aRequest)
 {
-  return json{
-    { "pool", aRequest.m_pool },
-    { "cordons", aRequest.m_restrictions.m_cordoned },
-    { "awaiting", aRequest.m_restrictions.m_awaitingMaintenance },
-    { "cordon-ms", aRequest.m_restrictions.m_cordonTime.count() }
-  }.dump();
+  json out{ { "pool", aRequest.m_pool },
+            { "cordons", aRequest.m_restrictions.m_cordoned },
+            { "awaiting", aRequest.m_restrictions.m_awaitingMaintenance },
+            { "cordon-ms", aRequest.m_restrictions.m_cordonTime.count() } };
+  job::AddAccounts(out, aRequest.m_grants);
+  return out.dump();
 }
 
 Result<FleetSyncRequest> DecodeFleetSyncRequest(const std::string& aText)
@@ -150,7 +155,8 @@
     return FleetSyncRequest{ aIn.at("pool").get<std::string>(),
                              { aIn.at("cordons").get<std::set<std::string>>(),
                                aIn.value("awaiting", std::set<std::string>{}),
-                               Millis(aIn.value("cordon-ms", job::kMinCordonTime.count())) } };
+                               Millis(aIn.value("cordon-ms", job::kMinCordonTime.count())) },
+                             job::AccountGrantsOf(aIn) };
   });
 }
 
@@ -166,22 +172,22 @@
                          { "count", units.m_count },
                          { "gang", units.m_isGang } });
   }
-  return json{
-    { "capacity", aReport.m_load.m_capacityCpu },
-    { "used", aReport.m_load.m_usedCpu },
-    { "waiting", aReport.m_load.m_waitingCpu },
-    { "lasting", aReport.m_load.m_longRunningCpu },
-    { "backlog", aReport.m_load.m_backlogCores },
-    { "arriving", aReport.m_load.m_arrivingCores },
-    { "spread", aReport.m_load.m_spreadMinions },
-    { "lacks-memory", aReport.m_load.m_lacksMemory },
-    { "minions", aReport.m_load.m_minions },
-    { "hosts", aReport.m_load.m_hostMinions },
-    { "age-ms", aReport.m_load.m_ownerAge.count() },
-    { "unplaced", std::move(unplaced) },
-    { "clear", aReport.m_drainedMachines },
-    { "idle", aReport.m_idleMachines }
-  }.dump();
+  json out{ { "capacity", aReport.m_load.m_capacityCpu },
+            { "used", aReport.m_load.m_usedCpu },
+            { "waiting", aReport.m_load.m_waitingCpu },
+            { "lasting", aReport.m_load.m_longRunningCpu },
+            { "backlog", aReport.m_load.m_backlogCores },
+            { "arriving", aReport.m_load.m_arrivingCores },
+            { "spread", aReport.m_load.m_spreadMinions },
+            { "lacks-memory", aReport.m_load.m_lacksMemory },
+            { "minions", aReport.m_load.m_minions },
+            { "hosts", aReport.m_load.m_hostMinions },
+            { "age-ms", aReport.m_load.m_ownerAge.count() },
+            { "unplaced", std::move(unplaced) },
+            { "clear", aReport.m_drainedMachines },
+            { "idle", aReport.m_idleMachines } };
+  job::AddAccounts(out, aReport.m_accounts);
+  return out.dump();
 }
 
 Result<FleetReport> DecodeFleetReport(const std::string& aText)
@@ -214,6 +220,7 @@
     }
     report.m_drainedMachines = aIn.at("clear").get<std::vector<std::string>>();
     report.m_idleMachines = aIn.at("idle").get<std::vector<std::string>>();
+    report.m_accounts = job::AccountReportOf(aIn);
     return report;
   });
 }
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -47,11 +47,6 @@
 std::string EncodeJobQueryResult(const JobQueryResult& aQueryResult);
 Result<JobQueryResult> DecodeJobQueryResult(const std::string& aText);
 
-struct FleetSyncRequest
-{
-  std::string m_pool;
-  job::MachineRestrictions m_restrictions;
-};
 std::string EncodeFleetSyncRequest(const FleetSyncRequest& aRequest);
 Result<FleetSyncRequest> DecodeFleetSyncRequest(const std::string& aText);
 std::string EncodeFleetReport(const FleetReport& aReport);
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -69,6 +69,20 @@
     aDone({ SubmitOutcome::Accepted, Millis{ 0 } });
     return;
   }
+  UpdateAccounts();
+  if (std::string reason = m_scheduler.DescribeLimitError(aRecord); !reason.empty()) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "job-exceeds-limit",
+        "job",
+        id,
+        "account",
+        aRecord.m_account,
+        "reason",
+        reason);
+    aDone({ SubmitOutcome::Invalid, Millis{ 0 }, std::move(reason) });
+    return;
+  }
   const TimePoint now = LeaseClockNow();
   const Millis waited = std::chrono::duration_cast<Millis>(now - FirstRefusalTime(id));
   if (!m_firstRefusalTimes.contains(id)) {
@@ -377,25 +391,6 @@
   }
 }
 
-FleetReport PoolOwner::ApplyRestrictions(const job::MachineRestrictions& aRestrictions)
-{
-  const WorkMeter::Scope scope(m_context.m_work, WorkPart::PoolReport);
-  m_scheduler.SetRestrictions(aRestrictions, LeaseClockNow());
-  DecideNow();
-  FleetReport report;
-  report.m_load = m_scheduler.MeasureLoad(LeaseClockNow());
-  for (const std::string& machine : aRestrictions.m_cordoned) {
-    if (m_scheduler.IsDrained(machine, LeaseClockNow())) {
-      report.m_drainedMachines.push_back(machine);
-    }
-  }
-  if (!report.m_drainedMachines.empty()) {
-    m_drainedReportAt = LeaseClockNow();
-  }
-  report.m_idleMachines = m_scheduler.IdleMachines(LeaseClockNow());
-  return report;
-}
-
 void PoolOwner::Drain(std::function<void()> aDone)
 {
   if (!m_isDraining && m_isLoaded) {
@@ -438,6 +433,7 @@
     SaveUnsavedJobs();
     return;
   }
+  UpdateAccounts();
   m_scheduler.Decide(now, WallNow());
   ExecuteOrders(m_scheduler.TakeOrders());
   RemoveRecordsOfDrained();
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -23,6 +23,7 @@
 {
   Accepted, ///< The job is stored, or was known already.
   Refused,  ///< The job is not stored, and this attempt never will store it.
+  Invalid,  ///< As Refused, and the job exceeds the limit of its account, so it can never run.
   NotOwner, ///< This node does not own the pool; nothing was done.
   Unknown,  ///< The job may have been stored.
 };
@@ -31,6 +32,7 @@
 {
   SubmitOutcome m_outcome = SubmitOutcome::NotOwner;
   Millis m_retryAfter{ 0 };
+  std::string m_reason = {}; ///< Of SubmitOutcome::Invalid.
 };
 
 /// How long after the request for a report the machines that it lists as drained can be given
@@ -44,6 +46,15 @@
   job::PoolLoad m_load;
   std::vector<std::string> m_drainedMachines; ///< Cordoned machines on which nothing runs.
   std::vector<std::string> m_idleMachines;    ///< Machines without work, most recently used last.
+  job::AccountReport m_accounts;
+};
+
+/// Sent to the owner of a pool by the holder of the machine orders; the response is a FleetReport.
+struct FleetSyncRequest
+{
+  std::string m_pool;
+  job::MachineRestrictions m_restrictions;
+  job::AccountGrants m_grants = {};
 };
 
 class PoolOwner
@@ -74,8 +85,10 @@
   /// Called when a minion of any pool has registered.
   void OnMachineIncarnation(const job::MachineIncarnation& aIncarnation);
   void OnInboxRow(const platform::Row& aRow);
-  /// Puts these restrictions in the place of earlier ones and returns the pool's state.
-  FleetReport ApplyRestrictions(const job::MachineRestrictions& aRestrictions);
+  /// Puts these restrictions in the place of earlier ones, applies the grants and returns the
+  /// pool's state.
+  FleetReport ApplyRestrictions(const job::MachineRestrictions& aRestrictions,
+                                const job::AccountGrants& aGrants = {});
   /// Accepts and starts nothing more. The callback runs when all writes to the store have ended.
   void Drain(std::function<void()> aDone);
   /// Gives no more leases: from now on the pool may have another owner, although this node does not
@@ -91,6 +104,10 @@
   void DecideNow();
   /// Logs the steps with waiting units, and why they wait.
   void LogWaiting() const;
+  /// Makes the accounts of a new configuration known to the scheduler.
+  void UpdateAccounts();
+  /// Logs the accounts that want most in relation to their allowances.
+  void LogAllowances();
   /// Logs the minions that inherited jobs wait for, until there are none.
   void LogRecovery();
   void LogCrash(const job::CrashNotice& aNotice) const;
@@ -146,8 +163,10 @@
   TimerHandle m_decisionTimer;
   TimerHandle m_drainTimer;
   TimePoint m_loadedAt{};
-  TimePoint m_nextDecisionAt{};  ///< Earliest time of a decision that is made on request.
-  TimePoint m_drainedReportAt{}; ///< Latest report that listed drained machines.
+  TimePoint m_nextDecisionAt{};        ///< Earliest time of a decision that is made on request.
+  TimePoint m_drainedReportAt{};       ///< Latest report that listed drained machines.
+  std::uint64_t m_accountsVersion = 0; ///< Configuration whose accounts the scheduler knows.
+  std::size_t m_accountShards = 0;     ///< Shards of all pools; 0 while that is not known.
   bool m_isLoaded = false;
   bool m_isClosed = false;
   bool m_isDraining = false;
--- a/tests/node/FleetOrderControllerTest.cpp
+++ b/tests/node/FleetOrderControllerTest.cpp
@@ -77,24 +77,22 @@
     m_controller.emplace(
       m_node.m_context,
       m_claim,
-      [this](const std::string& aPool,
-             const job::MachineRestrictions& aRestrictions,
-             const std::function<void(Result<FleetReport>)>& aDone) {
-        Report(aPool, aRestrictions, aDone);
-      },
+      [this](const FleetSyncRequest& aRequest,
+             const std::function<void(Result<FleetReport>)>& aDone) { Report(aRequest, aDone); },
       [](const std::vector<job::Machine>&) {},
       [] {});
   }
 
-  void Report(const std::string& aPool,
-              const job::MachineRestrictions& aRestrictions,
+  void Report(const FleetSyncRequest& aRequest,
               const std::function<void(Result<FleetReport>)>& aDone)
   {
+    const std::set<std::string>& cordoned = aRequest.m_restrictions.m_cordoned;
     ++m_reports;
     FleetReport report;
     report.m_load.m_spreadMinions = m_machinesPerPool; // No machine is moved.
-    report.m_drainedMachines = { aRestrictions.m_cordoned.begin(), aRestrictions.m_cordoned.end() };
-    m_reportTimers[aPool] = m_timers.After(m_reportDelay, [aDone, report] { aDone(report); });
+    report.m_drainedMachines = { cordoned.begin(), cordoned.end() };
+    m_reportTimers[aRequest.m_pool] =
+      m_timers.After(m_reportDelay, [aDone, report] { aDone(report); });
   }
 
   std::string MachineName(std::size_t aPool, std::size_t aMachine) const
--- a/tests/node/ManyNodesTest.cpp
+++ b/tests/node/ManyNodesTest.cpp
@@ -119,7 +119,7 @@
       m_orderController = std::make_unique<FleetOrderController>(
         m_fixture.m_context,
         aClaim,
-        [](const std::string&, const job::MachineRestrictions&, auto&& aDone) {
+        [](const FleetSyncRequest&, auto&& aDone) {
           aDone(Error{ ErrorKind::Unavailable, "query pool owner", "", "no owner" });
         },
         [this](const std::vector<job::Machine>& aMachines) {
