--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -1,5 +1,7 @@
 #include "node/JobGateway.h"
 
+#include <nlohmann/json.hpp>
+
 #include "mustardtray/process/Log.h"
 #include "node/GatewayResponses.h"
 #include "node/RowParts.h"
@@ -177,7 +179,16 @@
         case SubmitOutcome::Forbidden:
           responder.Send(Forbidden());
           return;
+        case SubmitOutcome::Invalid:
+          responder.Send(JsonResponse(400, nlohmann::json{ { "error", aResult.m_reason } }.dump()));
+          return;
         case SubmitOutcome::NotOwner:
+          if (std::string reason =
+                job::DescribeLimitError(m_context.m_deployment.m_accounts, record);
+              !reason.empty()) {
+            responder.Send(JsonResponse(400, nlohmann::json{ { "error", reason } }.dump()));
+            return;
+          }
           StoreInInbox(aTarget, record, false, deadline, responder);
           return;
         case SubmitOutcome::Unknown:
