Node: bound the memory and the descriptors that callers use

Cause: each listener took half of the descriptors (one and a half times all of them together), each connection up to 8 MB, error responses kept closed connections open beyond the limit, and full listeners accepted nobody else. Change: callers, peers and readiness checks have shares of limits.memory_mb and limits.max_fds. The socket reports what it holds, and the listener closes what the ledger chooses: 503 or 408 where a request is incomplete. The body limit of callers is max_body_bytes of the configuration or 262,144 bytes, with 413. Error responses linger on an eighth of the connections at most.

--- a/include/mustardtray/connection/HttpServer.h
+++ b/include/mustardtray/connection/HttpServer.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -24,6 +25,18 @@
   std::string m_keyFile;
 };
 
+/// Limits of the memory and the time of a listener's callers; 0 sets no limit. Where they are set,
+/// the connection that was silent for longest is closed when there are too many.
+struct CallerLimits
+{
+  std::string m_listener; ///< Name for log lines.
+  /// Of requests and responses in progress. When it is exceeded, the connection that has held most
+  /// for longest without progress is closed, with status 503 where a request is incomplete.
+  std::size_t m_maxHeldBytes = 0;
+  Millis m_progressTimeout{ 0 }; ///< Without a byte, within a request or a response.
+  Millis m_headerTimeout{ 0 };   ///< From the first byte to the end of a request's header.
+};
+
 struct HttpServerOptions
 {
   std::string m_address = "127.0.0.1"; ///< IP address to bind to.
@@ -33,8 +46,9 @@
   std::size_t m_maxHeaderCount = 100;
   std::size_t m_maxConnections = 10'000;
   Millis m_readTimeout{ 10'000 }; ///< For receiving a whole request; also closes idle connections.
-  Millis m_handlerTimeout{ 120'000 }; ///< For the handler to send its response.
-  TlsFiles m_tls;                     ///< An empty certificate file selects plain TCP.
+  Millis m_handlerTimeout{ 120'000 };         ///< For the handler to send its response.
+  std::optional<CallerLimits> m_callerLimits; ///< Not for TLS listeners.
+  TlsFiles m_tls;                             ///< An empty certificate file selects plain TCP.
 };
 
 /// Sends the response to one request. Send() may be called from any thread; calls after the first
@@ -76,6 +90,9 @@
   std::uint16_t Port() const;
   /// Reloads the TLS files for new connections. Error: Invalid when they cannot be loaded.
   Result<void> ReloadTls();
+  /// Changes the limit of a body, except at a TLS listener. Must be called on the io_context's
+  /// thread.
+  void SetMaxBodyBytes(std::uint64_t aBytes);
   /// Stops accepting connections. Open connections stay usable, and each is closed after its next
   /// response.
   void StopAccepting();
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -15,8 +15,17 @@
 
 namespace {
 
+constexpr int kPayloadTooLarge = 413;
 constexpr std::size_t kConcurrentAccepts = 8;
 constexpr std::size_t kReadBufferBytes = 8192;
+/// Part of a listener's connections that may be open only to send an error response.
+constexpr std::size_t kLingeringDivisor = 8;
+/// RESTinio accepts no more connections at its limit, so silent ones are closed a little earlier.
+constexpr std::size_t kAcceptReserve = 2 * kConcurrentAccepts;
+/// RESTinio's own limit of a body cannot change while a listener is open. RequestMeter applies the
+/// one in force, which is never above this.
+constexpr std::uint64_t kMaxBodyBytes = 64u << 20;
+constexpr std::chrono::seconds kSweepPeriod{ 1 };
 
 /// Maps an error message of RESTinio's parser to the status of the response; 0 for any other
 /// message.
@@ -185,6 +194,8 @@
     , m_options(std::move(aOptions))
     , m_handler(std::move(aHandler))
     , m_state(std::make_shared<ServerState>())
+    , m_connections(std::make_shared<ListenerConnections>(MakeConnectionsOptions()))
+    , m_sweepTimer(aContext)
   {
   }
 
@@ -205,6 +216,9 @@
     } catch (const std::exception& fault) {
       return MakeStartError(ErrorKind::Unavailable, m_options, fault.what());
     }
+    if (m_options.m_callerLimits) {
+      Sweep();
+    }
     return boost::outcome_v2::success();
   }
 
@@ -232,6 +246,11 @@
 
   std::uint16_t Port() const { return m_port; }
 
+  void SetMaxBodyBytes(std::uint64_t aBytes)
+  {
+    m_connections->SetMaxBodyBytes(std::min(aBytes, kMaxBodyBytes));
+  }
+
   void StopAccepting()
   {
     m_state->m_isClosing = true;
@@ -249,6 +268,7 @@
   void Stop()
   {
     StopAccepting();
+    m_sweepTimer.cancel();
     m_server = std::monostate{};
   }
 
@@ -258,6 +278,53 @@
     OpenListener<TlsTraits>([this](auto& aSettings) { aSettings.tls_context(m_tlsContext); });
   }
 
+  /// The meter suspends after requests for an upgrade, so it can miss a body.
+  void SendBodyTooLong(restinio::request_handle_t aRequest) const
+  {
+    HttpResponse response = JsonResponse(kPayloadTooLarge, R"({"error":"Payload Too Large"})");
+    response.m_headers.push_back({ "Mustardtray-Outcome", "not-run" });
+    RequestSink(std::move(aRequest), m_state).Send(std::move(response));
+  }
+
+  std::size_t MaxLingering() const
+  {
+    return m_options.m_callerLimits
+             ? std::max<std::size_t>(1, m_options.m_maxConnections / kLingeringDivisor)
+             : 0;
+  }
+
+  ListenerConnectionsOptions MakeConnectionsOptions() const
+  {
+    ListenerConnectionsOptions options;
+    options.m_maxBodyBytes = std::min(m_options.m_maxBodyBytes, kMaxBodyBytes);
+    options.m_maxLingering = MaxLingering();
+    if (m_options.m_callerLimits) {
+      const CallerLimits& limits = *m_options.m_callerLimits;
+      const std::size_t reserved = MaxLingering() + kAcceptReserve;
+      options.m_name = limits.m_listener;
+      options.m_limits.m_maxHeldBytes = limits.m_maxHeldBytes;
+      options.m_limits.m_maxConnections =
+        m_options.m_maxConnections > 2 * reserved
+          ? m_options.m_maxConnections - reserved
+          : std::max<std::size_t>(1, m_options.m_maxConnections / 2);
+      options.m_limits.m_progressTimeout = limits.m_progressTimeout;
+      options.m_limits.m_headerTimeout = limits.m_headerTimeout;
+    }
+    return options;
+  }
+
+  void Sweep()
+  {
+    m_connections->CloseExpired();
+    m_connections->LogClosed();
+    m_sweepTimer.expires_after(kSweepPeriod);
+    m_sweepTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        Sweep();
+      }
+    });
+  }
+
   template<typename Traits, typename Customize>
   void OpenListener(Customize aCustomizeSettings)
   {
@@ -266,11 +333,11 @@
       .port(m_options.m_port)
       .buffer_size(kReadBufferBytes)
       .concurrent_accepts_count(kConcurrentAccepts)
-      .max_parallel_connections(m_options.m_maxConnections)
+      .max_parallel_connections(m_options.m_maxConnections - MaxLingering())
       .read_next_http_message_timelimit(m_options.m_readTimeout)
       .handle_request_timeout(m_options.m_handlerTimeout)
       .write_http_response_timelimit(m_options.m_readTimeout)
-      .incoming_http_msg_limits(MessageLimits())
+      .incoming_http_msg_limits(MessageLimits(std::is_same_v<Traits, PlainTraits>))
       .socket_options_setter(
         [](auto& aOptions) { aOptions.set_option(asio::ip::tcp::no_delay{ true }); })
       .acceptor_options_setter(
@@ -279,31 +346,40 @@
         [this](asio::ip::tcp::acceptor& aAcceptor) { m_port = aAcceptor.local_endpoint().port(); })
       .request_handler([this](restinio::request_handle_t aRequest) {
         HttpRequest request = ConvertRequest(*aRequest);
-        m_handler(std::move(request),
-                  HttpResponder(std::make_shared<RequestSink>(std::move(aRequest), m_state)));
+        if (!m_options.m_tls.m_certificateFile.empty() ||
+            request.m_body.size() <= m_connections->MaxBodyBytes()) {
+          m_handler(std::move(request),
+                    HttpResponder(std::make_shared<RequestSink>(std::move(aRequest), m_state)));
+        } else {
+          SendBodyTooLong(std::move(aRequest));
+        }
         return restinio::request_accepted();
       });
     aCustomizeSettings(settings);
+    gOpeningListener = m_connections;
     auto server = std::make_unique<restinio::http_server_t<Traits>>(
       restinio::external_io_context(m_context), std::move(settings));
+    gOpeningListener.reset();
     server->open_sync();
     m_server = std::move(server);
   }
 
-  restinio::incoming_http_msg_limits_t MessageLimits() const
+  restinio::incoming_http_msg_limits_t MessageLimits(bool aHasMeter) const
   {
     return restinio::incoming_http_msg_limits_t{}
       .max_url_size(m_options.m_maxHeaderBytes)
       .max_field_name_size(m_options.m_maxHeaderBytes)
       .max_field_value_size(m_options.m_maxHeaderBytes)
       .max_field_count(m_options.m_maxHeaderCount)
-      .max_body_size(m_options.m_maxBodyBytes);
+      .max_body_size(aHasMeter ? kMaxBodyBytes : m_options.m_maxBodyBytes);
   }
 
   asio::io_context& m_context;
   HttpServerOptions m_options;
   HttpHandler m_handler;
   std::shared_ptr<ServerState> m_state;
+  std::shared_ptr<ListenerConnections> m_connections;
+  asio::steady_timer m_sweepTimer;
   std::shared_ptr<asio::ssl::context> m_tlsContext;
   std::uint16_t m_port = 0;
   std::variant<std::monostate,
@@ -335,6 +411,11 @@
   return m_implementation->ReloadTls();
 }
 
+void HttpServer::SetMaxBodyBytes(std::uint64_t aBytes)
+{
+  m_implementation->SetMaxBodyBytes(aBytes);
+}
+
 void HttpServer::StopAccepting()
 {
   m_implementation->StopAccepting();
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -1,6 +1,7 @@
 #include "node/NodeDaemon.h"
 
 #include <csignal>
+#include <malloc.h>
 #include <random>
 
 #include <asio/signal_set.hpp>
@@ -11,6 +12,7 @@
 #include "mustardtray/process/Log.h"
 #include "node/FleetOrderController.h"
 #include "node/JobGateway.h"
+#include "node/ListenerOptions.h"
 #include "node/Membership.h"
 #include "node/MinionDirectory.h"
 #include "node/NodeMonitor.h"
@@ -35,7 +37,6 @@
 /// Minions write their rows continuously, so polls are spaced. A minion that starts to drain must
 /// get no work after about two seconds.
 constexpr Millis kMinionPollInterval{ 350 };
-constexpr Millis kIdleTimeout{ 60'000 };
 constexpr Millis kPeerCallTimeout{ 600 };
 /// Time before the SIGKILL that follows SIGTERM; pending responses must have been sent by then.
 constexpr Millis kStopMargin{ 1'200 };
@@ -44,6 +45,20 @@
 /// Part of the time to stop that is left for handing over pools.
 constexpr Millis kHandOverTime{ 600 };
 
+/// Allocations of this size and above go back to the system when they are freed.
+constexpr int kMinMappedBytes = 65'536;
+
+/// By default, glibc raises the threshold to the size of the longest message that was freed. Bodies
+/// then leave partly used heap pages behind, which stay resident.
+void KeepMemoryWithin(std::size_t aMemoryMb)
+{
+#ifdef __GLIBC__
+  if (aMemoryMb > 0) {
+    mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  }
+#endif
+}
+
 std::string MakeIncarnation()
 {
   std::random_device device;
@@ -126,25 +141,11 @@
   }
 
 private:
-  HttpServerOptions MakeListenerOptions(const std::string& aIp, std::uint16_t aPort) const
-  {
-    // Leaves half of the descriptors for outgoing calls.
-    constexpr std::size_t kDescriptorDivisor = 2;
-    HttpServerOptions options;
-    options.m_address = aIp;
-    options.m_port = aPort;
-    options.m_readTimeout = kIdleTimeout;
-    options.m_maxConnections = m_settings.m_maxDescriptors / kDescriptorDivisor;
-    return options;
-  }
-
   bool StartListener(std::unique_ptr<HttpServer>& aServer,
-                     const std::string& aIp,
-                     std::uint16_t aPort,
+                     HttpServerOptions aOptions,
                      HttpHandler aHandler)
   {
-    aServer =
-      std::make_unique<HttpServer>(m_io, MakeListenerOptions(aIp, aPort), std::move(aHandler));
+    aServer = std::make_unique<HttpServer>(m_io, std::move(aOptions), std::move(aHandler));
     const auto started = aServer->Start();
     if (!started) {
       Log(LogCategory::Process, LogLevel::Error, "listen-failed", "error", started.error().Text());
@@ -155,20 +156,17 @@
   bool StartListeners()
   {
     return StartListener(m_callerServer,
-                         m_settings.m_callerListener.m_ip,
-                         m_settings.m_callerListener.m_port,
+                         MakeCallerListenerOptions(m_settings),
                          [this](HttpRequest aRequest, HttpResponder aResponder) {
                            m_gateway->Handle(std::move(aRequest), std::move(aResponder));
                          }) &&
            StartListener(m_readyServer,
-                         m_settings.m_readyListener.m_ip,
-                         m_settings.m_readyListener.m_port,
+                         MakeReadyListenerOptions(m_settings),
                          [this](const HttpRequest&, const HttpResponder& aResponder) {
                            aResponder.Send(JsonResponse(IsReady() ? 200 : 503, "{}"));
                          }) &&
            StartListener(m_peerServer,
-                         m_settings.m_ip,
-                         m_settings.m_firstPeerPort,
+                         MakePeerListenerOptions(m_settings),
                          [this](HttpRequest aRequest, HttpResponder aResponder) {
                            m_peerHandler->Handle(aRequest, std::move(aResponder));
                          });
@@ -216,6 +214,7 @@
       return;
     }
     m_context.m_deployment = std::move(deployment.value());
+    m_callerServer->SetMaxBodyBytes(m_context.m_deployment.m_maxBodyBytes);
     Log(LogCategory::Configuration,
         LogLevel::Info,
         "configuration-in-force",
@@ -467,6 +466,7 @@
 
 int RunNode(const platform::NodeSettings& aSettings)
 {
+  KeepMemoryWithin(aSettings.m_memoryMb);
   StartLogging(LogLevel::Info, aSettings.m_nodeName);
   int result = kExitSuccess;
   {
