Connection: answer each of several pipelined requests

Cause: a handler that responds at once frees RESTinio's only request slot while it is called. RESTinio then reads the next request right away and, after the response is written, once more, and closes the connection at the third one because the slot is taken. Change: a response is posted to the io_context instead of being sent from within the handler.

--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -95,8 +95,11 @@
 class RequestSink : public HttpResponder::Sink
 {
 public:
-  RequestSink(restinio::request_handle_t aRequest, std::shared_ptr<ServerState> aState)
-    : m_request(std::move(aRequest))
+  RequestSink(asio::io_context& aContext,
+              restinio::request_handle_t aRequest,
+              std::shared_ptr<ServerState> aState)
+    : m_context(aContext)
+    , m_request(std::move(aRequest))
     , m_state(std::move(aState))
   {
   }
@@ -126,7 +129,9 @@
       response.connection_close();
     }
     response.set_body(std::move(aResponse.m_body));
-    response.done();
+    // Not from within the handler: RESTinio would read the next pipelined request at once and again
+    // after the response, and close the connection because of the second one.
+    asio::post(m_context, [response = std::move(response)]() mutable { response.done(); });
   }
 
 private:
@@ -154,6 +159,7 @@
     }
   }
 
+  asio::io_context& m_context;
   restinio::request_handle_t m_request;
   std::shared_ptr<ServerState> m_state;
   std::atomic<bool> m_isSent{ false };
@@ -283,7 +289,7 @@
   {
     HttpResponse response = JsonResponse(kPayloadTooLarge, R"({"error":"Payload Too Large"})");
     response.m_headers.push_back({ "Mustardtray-Outcome", "not-run" });
-    RequestSink(std::move(aRequest), m_state).Send(std::move(response));
+    RequestSink(m_context, std::move(aRequest), m_state).Send(std::move(response));
   }
 
   std::size_t MaxLingering() const
@@ -348,8 +354,9 @@
         HttpRequest request = ConvertRequest(*aRequest);
         if (!m_options.m_tls.m_certificateFile.empty() ||
             request.m_body.size() <= m_connections->MaxBodyBytes()) {
-          m_handler(std::move(request),
-                    HttpResponder(std::make_shared<RequestSink>(std::move(aRequest), m_state)));
+          m_handler(
+            std::move(request),
+            HttpResponder(std::make_shared<RequestSink>(m_context, std::move(aRequest), m_state)));
         } else {
           SendBodyTooLong(std::move(aRequest));
         }
--- a/tests/connection/HttpServerTest.cpp
+++ b/tests/connection/HttpServerTest.cpp
@@ -114,6 +114,18 @@
   CHECK(server.HandledCount() == 0);
 }
 
+TEST_CASE("HttpServer answers each of several requests that arrive at once on a connection")
+{
+  // A handler that responds at once made RESTinio read the third request before the second response
+  // was sent, and close the connection.
+  EchoServer server;
+  const std::string request = "POST /x HTTP/1.1\r\nContent-Length: 1\r\n\r\na";
+  const std::string last = "POST /x HTTP/1.1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nlast";
+  const std::string response = SendRaw(server.Port(), request + request + request + last);
+  CHECK(response.ends_with("last"));
+  CHECK(server.HandledCount() == 4);
+}
+
 TEST_CASE("HttpServer closes an idle connection without a response")
 {
   EchoServer server;
