Connection: close the oldest of busy connections for a new one

Connections in progress are silent for microseconds, so that a new one can be chosen as the silent one before its request is read; this was concluded from the code, not traced. Change: silence counts in whole seconds, and of several connections the oldest is closed.

--- a/src/connection/ConnectionLedger.cpp
+++ b/src/connection/ConnectionLedger.cpp
@@ -94,12 +94,15 @@
 
 std::vector<ConnectionLedger::Choice> ConnectionLedger::ChooseSilent(TimePoint aNow) const
 {
-  std::vector<std::pair<TimePoint, Choice>> candidates;
+  // Whole seconds: among connections that are all in progress, those that are open for longest are
+  // closed, so that a new one gets to send its request.
+  using Seconds = std::chrono::seconds;
+  std::vector<std::pair<Seconds, Choice>> candidates;
   for (const auto& [id, connection] : m_connections) {
     // A new connection that has sent nothing yet is not closed for another new one.
     if (connection.m_phase != ConnectionPhase::Handling && connection.m_progressAt < aNow) {
-      candidates.push_back(
-        { connection.m_progressAt, { id, CloseReason::Connections, connection.m_heldBytes } });
+      candidates.emplace_back(std::chrono::duration_cast<Seconds>(aNow - connection.m_progressAt),
+                              Choice{ id, CloseReason::Connections, connection.m_heldBytes });
     }
   }
   const std::size_t count =
@@ -107,8 +110,8 @@
   const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
   std::partial_sort(
     candidates.begin(), end, candidates.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::pair(aLeft.first, aLeft.second.m_id) <
-             std::pair(aRight.first, aRight.second.m_id);
+      return std::pair(aRight.first, aLeft.second.m_id) <
+             std::pair(aLeft.first, aRight.second.m_id);
     });
   std::vector<Choice> choices;
   std::transform(candidates.begin(), end, std::back_inserter(choices), [](const auto& aCandidate) {
--- a/src/connection/ConnectionLedger.h
+++ b/src/connection/ConnectionLedger.h
@@ -16,7 +16,8 @@
 struct ConnectionLimits
 {
   std::size_t m_maxHeldBytes = 0;
-  /// Beyond this number, the connection that was silent for longest is closed for each new one.
+  /// Beyond this number, the connection that was silent for longest, in whole seconds, is closed
+  /// for each new one; of several, the oldest.
   std::size_t m_maxConnections = 0;
   Millis m_progressTimeout{ 0 }; ///< Without a byte received or sent, within a request or response.
   Millis m_headerTimeout{ 0 };   ///< From a request's first byte to the end of its header.
