Job: learn run times for each queue, step and image

Cause: callers' estimates are wrong by a factor of 1.9 and more, and 3% of the units take seven times as long. One clamped factor per queue follows that slowly and mixes steps, images and the tail.

Change: LearnedRunTimes keeps two decaying sketches per key: recent ratios (typical run time, for paths, order and lateness) and the tail (mean, for work). Units away from their data have keys of their own, ends on minions that are slow against their peers are not learned from. Units beyond the 99th percentile count as no work, and their CPU as not available. In force where the contracts contain tenants; elsewhere the single factor stays.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -16,6 +16,7 @@
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
+#include "mustardtray/job/MinionSpeeds.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PlacementForecast.h"
 #include "mustardtray/job/PoolState.h"
@@ -28,6 +29,7 @@
 {
   Millis m_maxRunLease{ 6'000 };     ///< Longest lease that an owner asks for.
   Millis m_maxGrantedLease{ 6'000 }; ///< Longest lease that a minion grants.
+  bool m_learnsRunTimes = false;     ///< See RunTimeCorrection.
 };
 
 /// A crash of a minion, for logs.
@@ -199,6 +201,7 @@
   /// Called at a caller's first attempt to submit a job, whether or not it is accepted.
   void OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow);
 
+  const RunTimeCorrection& RunTimes() const { return m_runTimeCorrection; }
   MinionTable& Minions() { return m_minions; }
   const MinionTable& Minions() const { return m_minions; }
   const JobTable& Jobs() const { return m_jobs; }
@@ -318,6 +321,18 @@
   };
   Backlog MeasureBacklog(TimePoint aNow) const;
   bool IsLate(const Job& aJob, TimePoint aNow) const;
+  const CorrectedPaths& PathsOf(const Job& aJob) const;
+  RunTimeKey RunTimeKeyOf(const Job& aJob, const UnitId& aUnit, const MinionState& aMinion) const;
+  /// Learns from a run that has ended as done.
+  void ObserveRunTime(const MinionState& aMinion, const Run& aRun, const Job& aJob, TimePoint aNow);
+  /// Returns the part of the unit's time in the backlog that the run has already done. Negative
+  /// when the run will take longer than the backlog includes.
+  Millis DoneTime(const Job& aJob,
+                  const Run& aRun,
+                  const MinionState& aMinion,
+                  TimePoint aNow) const;
+  /// CPU of runs whose ends are not expected soon: long-running and overdue ones.
+  std::int64_t UnavailableCpu(const MinionState& aMinion, TimePoint aNow) const;
   PlacementForecast ForecastWaiting(TimePoint aNow) const;
   static std::uint32_t CountWaiting(const QueuedStep& aQueued);
   /// Whether the units of a step fit on no minion only because memory is missing.
@@ -374,7 +389,8 @@
   std::set<Job*> m_scheduledJobs; ///< Jobs with occurrences to begin.
   std::set<std::string> m_unsaved;
   std::map<std::string, std::size_t> m_waitingByQueue;
-  RunTimeCorrection m_runTimeCorrection;
+  RunTimeCorrection m_runTimeCorrection{ m_policy.m_learnsRunTimes };
+  MinionSpeeds m_minionSpeeds;
   ArrivalRate m_arrivals;
   AdviceCache m_advice;
   CrashHistory m_crashHistory;
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -14,6 +14,7 @@
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Job.h"
 #include "mustardtray/job/Minion.h"
+#include "mustardtray/job/RunTimeCorrection.h"
 #include "mustardtray/process/Time.h"
 
 namespace mustardtray::job {
@@ -66,6 +67,8 @@
   std::uint64_t m_revision = 0;          ///< Incremented with each change that has to be stored.
   std::uint64_t m_savedRevision = 0;     ///< Latest revision in the store.
   bool m_hasCrashes = false;             ///< A minion has crashed under one of its units.
+  /// Result for the current run time correction; computed when it is needed.
+  mutable CorrectedPaths m_correctedPaths;
 
   bool HasEnded() const { return m_state != JobState::Queued && m_state != JobState::Running; }
 };
@@ -98,9 +101,7 @@
   bool m_isSuspect = false;  ///< A minion crashed under the unit, and nothing explains it.
   bool m_isIsolated = false; ///< Nothing else is placed on its minion.
   Millis m_tailLatencyTarget{ 0 };
-  Millis m_expectedRunTime{
-    0
-  }; ///< Run time: the estimate, corrected by the queue's measured ones.
+  Millis m_expectedRunTime{ 0 };  ///< The estimate, corrected by measured run times.
   bool m_isStopConfirmed = false; ///< The minion has confirmed the stop order.
   bool m_isSizeUnknown = false;   ///< Of an unknown job: m_reserved is not what it uses.
 };
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -43,13 +43,13 @@
   if (aJob.m_record.m_spec.m_steps[aStep].m_isLongRunning) {
     return kLongRunningRank;
   }
-  const double factor = m_runTimeCorrection.Factor(queuePolicy.m_queue);
+  const CorrectedPaths& paths = PathsOf(aJob);
   const bool isScheduled = aJob.m_record.m_spec.m_repeatCount > 0;
   const Millis objective =
-    Scaled(aJob.m_criticalPath, queuePolicy.m_stretch * factor) + queuePolicy.m_extraTime;
+    Scaled(paths.m_critical, queuePolicy.m_stretch) + queuePolicy.m_extraTime;
   const TimePoint begin =
     isScheduled ? aJob.m_occurrences.at(aOccurrence).m_dueAt : aJob.m_arrivedAt;
-  const TimePoint latestStart = begin + objective - Scaled(aJob.m_longestPathFrom[aStep], factor);
+  const TimePoint latestStart = begin + objective - paths.m_pathFrom[aStep];
   double rank = ToMs(latestStart) + kRankPerPriority * queuePolicy.m_priority;
   if (aJob.m_isLate || aNow > latestStart + kLateTolerance) {
     rank += kLateRankPenalty;
@@ -287,7 +287,7 @@
   unit.m_isolationSoughtAt = {};
   Run& run = AddRun(aMinion, &unit, name, std::move(newRun));
   run.m_expectedRunTime =
-    Scaled(spec.m_estimate, m_runTimeCorrection.Factor(job.m_record.m_queuePolicy.m_queue));
+    Scaled(spec.m_estimate, m_runTimeCorrection.Factor(RunTimeKeyOf(job, id, aMinion)));
   std::string ticket;
   if (job.m_record.m_queuePolicy.m_needsAdvice) {
     const std::string* known = m_advice.FindTicket(StepName(name), aMinion.m_entry.m_id, aNow);
@@ -371,9 +371,7 @@
 void PoolScheduler::OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow)
 {
   if (!aRecord.m_spec.IsLongRunning() && aRecord.m_spec.m_repeatCount == 0) {
-    m_arrivals.Add(aNow,
-                   EstimatedWork(aRecord.m_spec) *
-                     m_runTimeCorrection.Factor(aRecord.m_queuePolicy.m_queue));
+    m_arrivals.Add(aNow, m_runTimeCorrection.Work(aRecord.m_queuePolicy.m_queue, aRecord.m_spec));
   }
 }
 
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -87,12 +87,14 @@
     if (IsLate(*job, aNow)) {
       late.insert(job);
     }
-    const double factor = m_runTimeCorrection.Factor(job->m_record.m_queuePolicy.m_queue);
+    const std::string& queue = job->m_record.m_queuePolicy.m_queue;
     for (const auto& [number, occurrence] : job->m_occurrences) {
-      for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
         const StepSpec& spec = job->m_record.m_spec.m_steps[s];
         if (!spec.m_isLongRunning) {
-          add(*job, CoreMillis(spec, spec.m_count - occurrence.m_steps[s].m_doneCount) * factor);
+          add(*job,
+              CoreMillis(spec, spec.m_count - occurrence.m_steps[s].m_doneCount) *
+                m_runTimeCorrection.WorkFactor(KeyOf(queue, job->m_record.m_spec, s)));
         }
       }
     }
@@ -105,10 +107,9 @@
       }
       const Job* job = FindJob(run.m_unit.m_job);
       if (job && !job->HasEnded()) {
-        const auto elapsed = std::chrono::duration_cast<Millis>(aNow - run.m_orderedAt);
         add(*job,
             -static_cast<double>(run.m_reserved.m_cpu) / 1'000.0 *
-              static_cast<double>(std::min(elapsed, run.m_expectedRunTime).count()));
+              static_cast<double>(DoneTime(*job, run, minion, aNow).count()));
       }
     }
   }
@@ -119,15 +120,16 @@
 
 double PoolScheduler::UsableCores(const Job& aJob) const
 {
-  const double factor = m_runTimeCorrection.Factor(aJob.m_record.m_queuePolicy.m_queue);
+  const std::string& queue = aJob.m_record.m_queuePolicy.m_queue;
   double work = 0;
   double widest = 0;
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
-    for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       const StepSpec& spec = aJob.m_record.m_spec.m_steps[s];
       const std::uint32_t remainingUnits = spec.m_count - occurrence.m_steps[s].m_doneCount;
       if (!spec.m_isLongRunning) {
-        work += CoreMillis(spec, remainingUnits) * factor;
+        work += CoreMillis(spec, remainingUnits) *
+                m_runTimeCorrection.WorkFactor(KeyOf(queue, aJob.m_record.m_spec, s));
         widest =
           std::max(widest, remainingUnits * static_cast<double>(spec.Reserved().m_cpu) / 1'000.0);
       }
@@ -142,19 +144,17 @@
     return aJob.m_isLate;
   }
   // Uses the same rule as Rank(), for the longest remaining path.
+  const CorrectedPaths& paths = PathsOf(aJob);
   Millis remainingPath{ 0 };
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::size_t s = 0; s < occurrence.m_steps.size(); ++s) {
-      remainingPath = occurrence.m_steps[s].IsDone()
-                        ? remainingPath
-                        : std::max(remainingPath, aJob.m_longestPathFrom[s]);
+      remainingPath = occurrence.m_steps[s].IsDone() ? remainingPath
+                                                     : std::max(remainingPath, paths.m_pathFrom[s]);
     }
   }
   const QueuePolicy& queuePolicy = aJob.m_record.m_queuePolicy;
-  const double factor = m_runTimeCorrection.Factor(queuePolicy.m_queue);
-  const TimePoint latestStart = aJob.m_arrivedAt +
-                                Scaled(aJob.m_criticalPath, queuePolicy.m_stretch * factor) +
-                                queuePolicy.m_extraTime - Scaled(remainingPath, factor);
+  const TimePoint latestStart = aJob.m_arrivedAt + Scaled(paths.m_critical, queuePolicy.m_stretch) +
+                                queuePolicy.m_extraTime - remainingPath;
   return aNow > latestStart + kLateTolerance;
 }
 
@@ -162,7 +162,7 @@
                                                    Millis aSinceFirstAttempt,
                                                    TimePoint aNow) const
 {
-  const double factor = m_runTimeCorrection.Factor(aRecord.m_queuePolicy.m_queue);
+  const std::string& queue = aRecord.m_queuePolicy.m_queue;
   AdmissionInput input;
   const Backlog backlog = MeasureBacklog(aNow);
   input.m_workAhead = backlog.m_onTime;
@@ -170,19 +170,16 @@
   input.m_sinceFirstAttempt = aSinceFirstAttempt;
   for (const auto& [id, minion] : m_minions) {
     if (AcceptsWork(minion, aNow)) {
-      std::int64_t cpu = minion.m_entry.m_capacity.m_cpu;
-      for (const auto& [name, run] : minion.m_runs) {
-        cpu -= run.m_isLongRunning ? run.m_reserved.m_cpu : 0;
-      }
+      const std::int64_t cpu = minion.m_entry.m_capacity.m_cpu - UnavailableCpu(minion, aNow);
       // A minion whose capacity has shrunk may run more than it has room for.
       input.m_availableCores += static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1'000.0;
     }
   }
-  const Millis criticalPath = Scaled(CriticalPath(LongestPathsFrom(aRecord.m_spec)), factor);
+  const Millis criticalPath = m_runTimeCorrection.Paths(queue, aRecord.m_spec).m_critical;
   input.m_criticalPath = criticalPath;
   input.m_objective =
     Scaled(criticalPath, aRecord.m_queuePolicy.m_stretch) + aRecord.m_queuePolicy.m_extraTime;
-  input.m_work = EstimatedWork(aRecord.m_spec) * factor;
+  input.m_work = m_runTimeCorrection.Work(queue, aRecord.m_spec);
   input.m_isLongRunning = aRecord.m_spec.IsLongRunning();
   input.m_isScheduled = aRecord.m_spec.m_repeatCount > 0;
   return Admit(input);
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -109,6 +109,7 @@
   }
   found->second.m_isRegistered = false;
   if (IsUnused(found->second, found->second.m_leaseEnd, aNow) && !m_awaited.contains(aId)) {
+    m_minionSpeeds.Forget(aId);
     m_minions.erase(found);
   }
 }
@@ -259,6 +260,7 @@
     }
     if (IsUnused(minion, minion.m_leaseEnd + kLeaseExpiryMargin, aNow) &&
         !m_awaited.contains(entry->first) && !minion.m_isRegistered) {
+      m_minionSpeeds.Forget(entry->first);
       entry = m_minions.erase(entry);
     } else {
       ++entry;
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -174,9 +174,7 @@
     if (isTracked && spec && !spec->m_isLongRunning) {
       const Run& run = entry->second;
       if (run.m_confirmedAt != TimePoint{} && unit->m_checkpoint.empty()) {
-        m_runTimeCorrection.Observe(job->m_record.m_queuePolicy.m_queue,
-                                    spec->m_estimate,
-                                    std::chrono::duration_cast<Millis>(aNow - run.m_orderedAt));
+        ObserveRunTime(aMinion, run, *job, aNow);
       }
     }
   }
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -36,9 +36,7 @@
                      std::function<void()> aOnLost)
   : m_context(aContext)
   , m_claim(aClaim)
-  , m_scheduler(
-      job::PoolPolicy{ MaxRunLease(aContext), aContext.m_settings.m_bounds.m_maxRunLease },
-      LeaseClockNow())
+  , m_scheduler(MakePolicy(aContext), LeaseClockNow())
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
   , m_reader(aContext, aClaim.m_pool, m_batchWriter)
 {
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -90,7 +90,10 @@
   void RequestDecision();
   void DecideNow();
   /// Logs the steps with waiting units, and why they wait.
+  static job::PoolPolicy MakePolicy(const NodeContext& aContext);
   void LogWaiting() const;
+  /// Logs the learned run times that differ most from the callers' estimates.
+  void LogRunTimes();
   /// Logs the minions that inherited jobs wait for, until there are none.
   void LogRecovery();
   void LogCrash(const job::CrashNotice& aNotice) const;
@@ -123,6 +126,7 @@
   job::OwnerRow m_claim;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   job::PoolScheduler m_scheduler;
+  std::uint64_t m_loggedRunTimes = 0; ///< Revision of the run times that were logged last.
   PoolBatchWriter m_batchWriter;
   PartitionReader m_reader;
   std::map<std::string, std::unique_ptr<MinionSession>> m_sessions;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+job::PoolPolicy PoolOwner::MakePolicy(const NodeContext& aContext)
+{
+  return { MaxRunLease(aContext),
+           aContext.m_settings.m_bounds.m_maxRunLease,
+           aContext.m_settings.m_hasAccounts };
+}
+
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
 {
   const Millis longest = job::Scaled(MaxRunLease(m_context), kClockSlowdown) + kTakeoverMargin;
@@ -126,7 +133,10 @@
     kInboxTable, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); }, [] {});
   m_periodicTimer = m_context.m_timers.Every(kDecisionPeriod, 0, [this] { DecideNow(); });
   m_recoveryLogTimer = m_context.m_timers.Every(kRecoveryLogPeriod, 0, [this] { LogRecovery(); });
-  m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] { LogWaiting(); });
+  m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] {
+    LogWaiting();
+    LogRunTimes();
+  });
   DecideNow();
 }
 
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kOrderTimeout{ 500 };
 /// Steps with waiting units that are logged at a time.
 constexpr std::size_t kMaxLoggedSteps = 3;
+/// Learned run times that are logged at a time.
+constexpr std::size_t kMaxLoggedRunTimes = 4;
 /// Awaited minions that are logged at a time.
 constexpr std::size_t kMaxLoggedAwaited = 8;
 /// Units that are logged with a crash of their minion.
@@ -61,6 +63,37 @@
   }
 }
 
+void PoolOwner::LogRunTimes()
+{
+  const std::uint64_t revision = m_scheduler.RunTimes().Revision();
+  if (!IsAuthoritative() || revision == m_loggedRunTimes) {
+    return;
+  }
+  m_loggedRunTimes = revision;
+  for (const job::LearnedRunTime& time :
+       m_scheduler.RunTimes().Learned().Describe(kMaxLoggedRunTimes)) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "run-times-learned",
+        "pool",
+        Pool(),
+        "queue",
+        time.m_queue,
+        "step",
+        time.m_step,
+        "image",
+        time.m_image,
+        "remote",
+        time.m_isRemote,
+        "typical",
+        time.m_factors.m_typical,
+        "mean",
+        time.m_factors.m_mean,
+        "ends",
+        time.m_count);
+  }
+}
+
 void PoolOwner::LogRecovery()
 {
   const TimePoint now = LeaseClockNow();
