Job: admission counts packed cores and arrivals before late work

Cause: units of 13 of 64 cores fill at most 52, so jobs were accepted as in time that the pool could not do; and late jobs were accepted by the present backlog alone, although arrivals that can be in time go before them.

Both inputs are set only where run times are learned.

The product was not run with these rules.

--- a/include/mustardtray/job/Admission.h
+++ b/include/mustardtray/job/Admission.h
@@ -17,8 +17,11 @@
   double m_workAhead = 0;
   double m_totalWork = 0;      ///< Includes the work of jobs that are already late.
   double m_availableCores = 0; ///< Cores that the pool has for such work.
-  Millis m_criticalPath{ 0 };  ///< Of the new job, corrected by measured run times.
-  Millis m_objective{ 0 };     ///< Time from the first attempt in which completion has full value.
+  /// Part of the available cores that units of the job's widest step can fill; 0: not known.
+  double m_packedCores = 0;
+  double m_arrivingCores = 0; ///< Kept busy by recent arrivals; late work waits behind them.
+  Millis m_criticalPath{ 0 }; ///< Of the new job, corrected by measured run times.
+  Millis m_objective{ 0 };    ///< Time from the first attempt in which completion has full value.
   Millis m_sinceFirstAttempt{ 0 }; ///< Time since the caller's first attempt.
   double m_work = 0;               ///< Work of the new job, in core-milliseconds.
   bool m_isLongRunning = false;    ///< Always admitted: such jobs are few and have no deadline.
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -168,11 +168,18 @@
   input.m_workAhead = backlog.m_onTime;
   input.m_totalWork = backlog.m_all;
   input.m_sinceFirstAttempt = aSinceFirstAttempt;
+  input.m_arrivingCores = m_runTimeCorrection.Learns() ? m_arrivals.DemandedCores(aNow) : 0;
+  std::int64_t widest = 0;
+  for (const StepSpec& step : aRecord.m_spec.m_steps) {
+    widest = std::max(widest, m_runTimeCorrection.Learns() ? step.Reserved().m_cpu : 0);
+  }
   for (const auto& [id, minion] : m_minions) {
     if (AcceptsWork(minion, aNow)) {
       const std::int64_t cpu = minion.m_entry.m_capacity.m_cpu - UnavailableCpu(minion, aNow);
       // A minion whose capacity has shrunk may run more than it has room for.
       input.m_availableCores += static_cast<double>(std::max<std::int64_t>(cpu, 0)) / 1'000.0;
+      input.m_packedCores +=
+        widest > 0 && cpu > 0 ? static_cast<double>(cpu / widest * widest) / 1'000.0 : 0.0;
     }
   }
   const Millis criticalPath = m_runTimeCorrection.Paths(queue, aRecord.m_spec).m_critical;
