Job: slow minions get work last, and a trial unit now and then

Cause: a minion that is slower than its peers got work like any other, since no figure told it from slow units.

After 5 s without a unit it gets one like any other, to measure it again.

Measured (LearnedRunTimesTest): of four minions and a remote one, only the one that takes four times as long is marked; of 9 units on two minions with room for 8 each, the slow one gets 1.

--- a/include/mustardtray/job/MinionSpeeds.h
+++ b/include/mustardtray/job/MinionSpeeds.h
@@ -6,10 +6,14 @@
 #include <deque>
 #include <map>
 #include <string>
-#include <string_view>
+
+#include "mustardtray/process/Time.h"
 
 namespace mustardtray::job {
 
+/// A slow minion that has got no unit for this time gets one, to see whether it is still slow.
+inline constexpr Millis kTrialPeriod{ 5'000 };
+
 class MinionSpeeds
 {
 public:
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -153,6 +153,8 @@
   std::string m_lastFailedJob;
   TimePoint m_probeAt{};     ///< When a suspicious minion may get a unit again, as a probe.
   TimePoint m_pausedUntil{}; ///< Gets no work until then because it refused an order.
+  bool m_isSlow = false;     ///< See MinionSpeeds; it gets work last...
+  TimePoint m_trialAt{};     ///< ...except for one unit from then on, to measure it again.
 
   /// Whether its registration is of a former incarnation, which may have had another capacity.
   bool IsRegistrationOutdated() const
--- a/src/job/Placement.cpp
+++ b/src/job/Placement.cpp
@@ -19,6 +19,7 @@
 constexpr double kOtherWorkPenalty = 2.0;      ///< The unit may crash the minion.
 /// For each other such unit on the minion: the next crash has to leave fewer suspects.
 constexpr double kOtherSuspectPenalty = 3.0;
+constexpr double kSlowMinionPenalty = 30.0;     ///< Units take longer on it than on its peers.
 constexpr double kAvoidedMinionPenalty = 100.0; ///< The minion is being drained first.
 constexpr double kSameStepPenalty =
   5.0; ///< For each unit of the same long-running step on the minion.
@@ -217,6 +218,7 @@
     if (aRequest.m_lastFailedMinion && *aRequest.m_lastFailedMinion == id) {
       score += kRecentFailurePenalty;
     }
+    score += minion.m_isSlow && aNow < minion.m_trialAt ? kSlowMinionPenalty : 0.0;
     score += aRequest.m_avoidedMinion == &minion ? kAvoidedMinionPenalty : 0.0;
     if (!best || score < bestScore) {
       best = &minion;
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -300,6 +300,7 @@
                                 job.m_record.m_spec.m_payload,
                                 unit.m_checkpoint,
                                 std::move(ticket) });
+  aMinion.m_trialAt = aNow + kTrialPeriod;
   MarkStarted(job);
 }
 
--- a/src/job/PoolSchedulerRunTimes.cpp
+++ b/src/job/PoolSchedulerRunTimes.cpp
@@ -60,8 +60,13 @@
     m_minionSpeeds.Observe(
       minion, static_cast<double>(measured.count()) / static_cast<double>(expected.count()));
   }
+  MinionState& observed = m_minions.at(minion);
+  if (const bool isSlow = m_minionSpeeds.IsSlow(minion); isSlow != observed.m_isSlow) {
+    observed.m_isSlow = isSlow;
+    observed.m_trialAt = aNow + kTrialPeriod;
+  }
   // What a slow minion takes says nothing about the queue.
-  if (!m_minionSpeeds.IsSlow(minion)) {
+  if (!observed.m_isSlow) {
     m_runTimeCorrection.Observe(key, estimate, measured);
   }
 }
--- a/tests/job/LearnedRunTimesTest.cpp
+++ b/tests/job/LearnedRunTimesTest.cpp
@@ -153,7 +153,36 @@
       running[order.m_minion] = order;
     }
   }
+  CHECK(fixture.m_pool.Minions().at("d").m_isSlow);
+  for (const char* minion : { "a", "b", "c", "remote" }) {
+    CHECK_FALSE(fixture.m_pool.Minions().at(minion).m_isSlow);
+  }
   const RunTimeCorrection& runTimes = fixture.m_pool.RunTimes();
   CHECK(runTimes.Factor(RunTimeKey{ "queue", 0, {}, false }) == doctest::Approx(2).epsilon(0.1));
   CHECK(runTimes.Factor(RunTimeKey{ "queue", 0, {}, true }) == doctest::Approx(6).epsilon(0.15));
 }
+
+TEST_CASE("a slow minion gets work last, but one trial unit now and then")
+{
+  PoolFixture fixture;
+  fixture.AddMinion("a", 8'000);
+  fixture.AddMinion("b", 8'000);
+  MinionState& slow = fixture.m_pool.Minions().at("a");
+  slow.m_isSlow = true;
+  slow.m_trialAt = fixture.m_now + kTrialPeriod;
+  fixture.m_pool.AddJob(MakeJob("job1", 9), fixture.m_now, false);
+  std::map<std::string, int> starts;
+  for (const StartOrder& order : fixture.StartAll()) {
+    ++starts[order.m_minion];
+  }
+  CHECK(starts == std::map<std::string, int>{ { "a", 1 }, { "b", 8 } });
+
+  PoolFixture later;
+  later.AddMinion("a", 8'000);
+  later.AddMinion("b", 8'000);
+  later.m_pool.Minions().at("a").m_isSlow = true; // The trial is due.
+  later.m_pool.AddJob(MakeJob("job2", 2), later.m_now, false);
+  const std::vector<StartOrder> orders = later.StartAll();
+  REQUIRE(orders.size() == 2);
+  CHECK(orders[0].m_minion != orders[1].m_minion);
+}
