--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+job::PoolPolicy PoolOwner::MakePolicy(const NodeContext& aContext)
+{
+  return { MaxRunLease(aContext),
+           aContext.m_settings.m_bounds.m_maxRunLease,
+           aContext.m_settings.m_hasAccounts };
+}
+
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
 {
   const Millis longest = job::Scaled(MaxRunLease(m_context), kClockSlowdown) + kTakeoverMargin;
@@ -129,6 +136,7 @@
   m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] {
     LogWaiting();
     LogAllowances();
+    LogRunTimes();
   });
   DecideNow();
 }
