Job: share a short capacity among accounts, and refuse what is beyond their rate first

Cause: an account that submits several times its usual rate took the capacity of the others, since jobs were ordered by latest start and refused by backlog only. Change: AccountRates counts first attempts per account and charges an owner's part of the entitlement; FairShare orders the steps of accounts above their weighted dominant share behind the others of the same priority and lateness. While room is short, jobs beyond the rate get 429 with the time at which the rate permits them. PoolScheduler::SetAccounts, SetAccountRates and AccountArrivals are the entry points for the exchange between owners; until it exists, an owner uses its own arrivals. The log lines account-shares and excess-refused are new. Without accounts nothing changes. Ruled out: leaving the work of accounts above their share out of the work ahead at admission changed neither load.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -11,11 +11,13 @@
 #include <string>
 #include <vector>
 
+#include "mustardtray/job/AccountRates.h"
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
+#include "mustardtray/job/FairShare.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PlacementForecast.h"
 #include "mustardtray/job/PoolState.h"
@@ -28,6 +30,7 @@
 {
   Millis m_maxRunLease{ 6'000 };     ///< Longest lease that an owner asks for.
   Millis m_maxGrantedLease{ 6'000 }; ///< Longest lease that a minion grants.
+  AccountRateLimits m_accountRates;
 };
 
 /// A crash of a minion, for logs.
@@ -97,6 +100,13 @@
   Millis m_leaseLeft{ 0 }; ///< Negative: the lease has ended, but no later call has failed.
 };
 
+/// An account that uses or wants something in a shard, for logs.
+struct AccountState
+{
+  FairShare::Share m_share;
+  std::size_t m_excessRefusals = 0; ///< Since the last call.
+};
+
 /// How long a refused job counts as demand: its caller retries within about this time.
 inline constexpr Millis kRefusedDemandTime{ 1'500 };
 
@@ -111,6 +121,7 @@
   PoolScheduler(PoolPolicy aPolicy, TimePoint aNow)
     : m_policy(aPolicy)
     , m_beganAt(aNow)
+    , m_accountRates(aPolicy.m_accountRates)
   {
   }
 
@@ -128,7 +139,8 @@
                                       Millis aSinceFirstAttempt,
                                       TimePoint aNow) const;
   /// Adds a job that has been stored. aFirstSeen: time of the caller's first attempt.
-  void AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate);
+  /// aIsExcess: the job is beyond its account's rate.
+  void AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate, bool aIsExcess = false);
   /// Cancels a job unless it has ended; returns false when the job is unknown.
   bool CancelJob(const std::string& aId, TimePoint aNow);
   const Job* FindJob(const std::string& aId) const;
@@ -199,6 +211,30 @@
   /// Called at a caller's first attempt to submit a job, whether or not it is accepted.
   void OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow);
 
+  // Client accounts.
+
+  /// Sets the weights of the accounts. Called for each new configuration.
+  void SetAccounts(const std::vector<AccountSpec>& aAccounts);
+  /// Sets the arrivals per second of each account at all owners together. Without an update for a
+  /// while, only the arrivals at this owner count.
+  void SetAccountRates(const std::map<std::string, double>& aRates, TimePoint aNow)
+  {
+    m_accountRates.SetFleetRates(aRates, aNow);
+  }
+  /// Arrivals per second at this owner, by account.
+  std::map<std::string, double> AccountArrivals(TimePoint aNow) const
+  {
+    return m_accountRates.ArrivalsPerSecond(aNow);
+  }
+  /// Returns whether a job is within its account's rate, and charges it if so. Called once for each
+  /// job that is within the rate, after OnFirstAttempt().
+  bool ChargeRate(const JobRecord& aRecord, TimePoint aNow);
+  /// Called for a job beyond its account's rate: returns when to retry if it has to be refused,
+  /// because room is short.
+  std::optional<Millis> RefuseExcess(const JobRecord& aRecord, TimePoint aNow);
+  /// Describes the accounts that use or want something, first those furthest above their share.
+  std::vector<AccountState> TakeAccountStates(TimePoint aNow);
+
   MinionTable& Minions() { return m_minions; }
   const MinionTable& Minions() const { return m_minions; }
   const JobTable& Jobs() const { return m_jobs; }
@@ -290,6 +326,12 @@
   /// answer a call that was sent later.
   bool IsLost(const MinionState& aMinion, TimePoint aNow) const;
   void PlaceQueued(TimePoint aNow);
+  /// Orders the steps of accounts above their share, and of jobs beyond their account's rate,
+  /// behind others of the same priority and lateness. No effect without accounts.
+  void OrderByShares(TimePoint aNow);
+  FairShare MeasureShares(TimePoint aNow) const;
+  /// Whether the units that can start at once fit beside all units that wait.
+  bool HasRoomFor(const JobSpec& aSpec, TimePoint aNow) const;
   /// aMayUseCordoned: see PlacementRequest::m_mayUseCordoned.
   bool PlaceUnits(QueuedStep& aQueued, bool aMayUseCordoned, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
@@ -376,6 +418,9 @@
   std::map<std::string, std::size_t> m_waitingByQueue;
   RunTimeCorrection m_runTimeCorrection;
   ArrivalRate m_arrivals;
+  AccountRates m_accountRates;
+  std::unordered_map<std::string, double> m_accountWeights;
+  std::unordered_map<std::string, std::size_t> m_excessRefusals; ///< By account; for logs.
   AdviceCache m_advice;
   CrashHistory m_crashHistory;
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -56,6 +56,7 @@
   JobState m_state = JobState::Queued;
   bool m_hasStarted = false;
   bool m_isLate = false;      ///< Accepted although it cannot meet its objective.
+  bool m_isExcess = false;    ///< Beyond the rate to which its account is entitled.
   bool m_isInherited = false; ///< Accepted before this owner took over the pool.
   std::uint32_t m_nextOccurrence = 0;
   std::map<std::uint32_t, Occurrence> m_occurrences; ///< Due, but not done.
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -87,6 +87,7 @@
     m_queued.begin(), m_queued.end(), [](const QueuedStep& aLeft, const QueuedStep& aRight) {
       return aLeft.m_rank < aRight.m_rank;
     });
+  OrderByShares(aNow);
   HoldMinionsForIsolation(aNow);
   std::vector<QueuedStep> remaining;
   std::vector<Resources> unplaceable;
@@ -370,6 +371,7 @@
 
 void PoolScheduler::OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow)
 {
+  m_accountRates.OnArrival(aRecord.m_account, aNow);
   if (!aRecord.m_spec.IsLongRunning() && aRecord.m_spec.m_repeatCount == 0) {
     m_arrivals.Add(aNow,
                    EstimatedWork(aRecord.m_spec) *
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -188,7 +188,7 @@
   return Admit(input);
 }
 
-void PoolScheduler::AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate)
+void PoolScheduler::AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate, bool aIsExcess)
 {
   if (m_jobs.contains(aRecord.m_id)) {
     return;
@@ -197,6 +197,7 @@
   job->m_record = std::move(aRecord);
   InitializeJob(*job, aFirstSeen);
   job->m_isLate = aIsLate;
+  job->m_isExcess = aIsExcess;
   Job& added = *job;
   m_jobs.emplace(added.m_record.m_id, std::move(job));
   m_activeJobs.insert(&added);
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -212,6 +212,9 @@
   void OnNewConfiguration()
   {
     m_operatorFollower->SetWait(OperatorPollWait());
+    for (const auto& [pool, owner] : m_owners) {
+      owner->OnConfiguration();
+    }
     m_shardDirectory->FollowUntilComplete();
     m_membership->RequestDecision();
   }
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -13,8 +13,6 @@
 /// Pause after a decision in relation to the time that it took, so that decisions leave time for
 /// the minions' reports and for callers.
 constexpr int kPauseAfterDecision = 2;
-/// Refused jobs whose first attempt is remembered; enough for some seconds of overload.
-constexpr std::size_t kMaxRememberedRefusals = 4'000;
 
 SubmitOutcome SubmitOutcomeOf(WriteOutcome aOutcome)
 {
@@ -36,13 +34,16 @@
                      std::function<void()> aOnLost)
   : m_context(aContext)
   , m_claim(aClaim)
-  , m_scheduler(
-      job::PoolPolicy{ MaxRunLease(aContext), aContext.m_settings.m_bounds.m_maxRunLease },
-      LeaseClockNow())
+  , m_scheduler(job::PoolPolicy{ MaxRunLease(aContext),
+                                 aContext.m_settings.m_bounds.m_maxRunLease,
+                                 { aContext.m_settings.m_bounds.m_rateWindow,
+                                   aContext.m_settings.m_bounds.m_rateSlack } },
+                LeaseClockNow())
   , m_batchWriter(aContext, aClaim.m_pool, aClaim.m_version, std::move(aOnLost))
   , m_reader(aContext, aClaim.m_pool, m_batchWriter)
 {
   m_scheduler.SetEpoch(aClaim.m_epoch);
+  OnConfiguration();
   StartLoading();
 }
 
@@ -75,9 +76,15 @@
   }
   const TimePoint now = LeaseClockNow();
   const Millis waited = std::chrono::duration_cast<Millis>(now - FirstRefusalTime(id));
-  if (!m_firstRefusalTimes.contains(id)) {
+  if (!m_firstRefusals.contains(id)) {
     m_scheduler.OnFirstAttempt(aRecord, now);
   }
+  const bool isExcess = IsExcess(aRecord, now);
+  const auto retryAfter = isExcess ? m_scheduler.RefuseExcess(aRecord, now) : std::nullopt;
+  if (retryAfter) {
+    RefuseSubmission(aRecord, isExcess, *retryAfter, aDone, now);
+    return;
+  }
   const WorkMeter::Scope scope(m_context.m_work, WorkPart::Submission);
   const job::AdmissionDecision verdict = m_scheduler.EvaluateAdmission(aRecord, waited, now);
   Log(LogCategory::Placement,
@@ -100,15 +107,7 @@
       "config",
       m_context.m_deployment.m_version);
   if (!verdict.m_isAccepted) {
-    m_scheduler.OnRefused(aRecord, now);
-    if (m_firstRefusalTimes.emplace(id, now).second) {
-      m_refusalOrder.push_back(id);
-      if (m_refusalOrder.size() > kMaxRememberedRefusals) {
-        m_firstRefusalTimes.erase(m_refusalOrder.front());
-        m_refusalOrder.pop_front();
-      }
-    }
-    aDone({ SubmitOutcome::Refused, verdict.m_retryAfter });
+    RefuseSubmission(aRecord, isExcess, verdict.m_retryAfter, aDone, now);
     return;
   }
   aRecord.m_epoch = m_claim.m_epoch;
@@ -122,6 +121,7 @@
                      id,
                      record = std::move(aRecord),
                      isLate = verdict.m_isLate,
+                     isExcess,
                      alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
                       if (alive.expired()) {
                         return;
@@ -130,7 +130,7 @@
                         std::move(m_pendingSubmissions[id].m_callbacks);
                       m_pendingSubmissions.erase(id);
                       if (aOutcome == WriteOutcome::Saved) {
-                        AddJob(record, isLate);
+                        AddJob(record, isLate, isExcess);
                       }
                       for (const SubmitCallback& callback : callbacks) {
                         callback({ SubmitOutcomeOf(aOutcome), Millis{ 0 } });
@@ -221,18 +221,12 @@
   }
 }
 
-TimePoint PoolOwner::FirstRefusalTime(const std::string& aId) const
-{
-  const auto found = m_firstRefusalTimes.find(aId);
-  return found == m_firstRefusalTimes.end() ? LeaseClockNow() : found->second;
-}
-
-void PoolOwner::AddJob(const job::JobRecord& aRecord, bool aIsLate)
+void PoolOwner::AddJob(const job::JobRecord& aRecord, bool aIsLate, bool aIsExcess)
 {
   // The wall clocks of two machines are compared; a fast clock must not put the arrival in the
   // future.
   const Millis age = std::max(Millis{ 0 }, WallNow() - aRecord.m_acceptedAt);
-  m_scheduler.AddJob(aRecord, LeaseClockNow() - age, aIsLate);
+  m_scheduler.AddJob(aRecord, LeaseClockNow() - age, aIsLate, aIsExcess);
   if (m_deferredCancels.erase(aRecord.m_id) > 0) {
     platform::Row cancel;
     cancel.m_rowId = { kInboxTable, Pool(), kCancelPrefix + aRecord.m_id };
@@ -282,7 +276,7 @@
         std::move(m_pendingSubmissions[record.m_id].m_callbacks);
       m_pendingSubmissions.erase(record.m_id);
       if (aOutcome == WriteOutcome::Saved) {
-        AddJob(record, false);
+        AddJob(record, false, false);
         RemoveFromInbox(record.m_id);
       }
       for (const SubmitCallback& callback : callbacks) {
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -65,6 +65,8 @@
 
   using SubmitCallback = std::function<void(SubmitResult)>;
   void Submit(job::JobRecord aRecord, SubmitCallback aDone);
+  /// Puts the accounts of the configuration in force. Called for each new configuration.
+  void OnConfiguration() { m_scheduler.SetAccounts(m_context.m_deployment.m_accounts); }
   /// Cancels a job. aDone gets true when the job's end or its cancel is stored, false when the job
   /// is not known, and an empty value when neither can be told now.
   void Cancel(const std::string& aId, std::function<void(std::optional<bool>)> aDone);
@@ -118,8 +120,18 @@
   /// Longest time from the claim on for which the minion may run work of earlier owners.
   Millis LongestInheritedLease(const UsedMinion& aMinion) const;
   void EndSessionsOfErasedMinions();
-  void AddJob(const job::JobRecord& aRecord, bool aIsLate);
+  void AddJob(const job::JobRecord& aRecord, bool aIsLate, bool aIsExcess);
   TimePoint FirstRefusalTime(const std::string& aId) const;
+  /// Whether the job is beyond its account's rate. Charges each job once; see m_firstRefusals.
+  bool IsExcess(const job::JobRecord& aRecord, TimePoint aNow);
+  /// Responds that the job is refused, and remembers the attempt.
+  void RefuseSubmission(const job::JobRecord& aRecord,
+                        bool aIsExcess,
+                        Millis aRetryAfter,
+                        const SubmitCallback& aDone,
+                        TimePoint aNow);
+  /// Logs the accounts with the largest shares, if units wait.
+  void LogAccountShares();
   void AcceptFromInbox(const std::string& aId, const std::string& aValue);
 
   NodeContext& m_context;
@@ -141,8 +153,12 @@
   std::map<std::string, PendingSubmission> m_pendingSubmissions;
   std::map<std::string, std::string> m_loadedJobs;
   std::map<std::string, std::string> m_loadedProgress;
-  /// Time of the first attempt, by refused job.
-  std::map<std::string, TimePoint> m_firstRefusalTimes;
+  struct FirstRefusal
+  {
+    TimePoint m_at{};        ///< Time of the first attempt.
+    bool m_isExcess = false; ///< Not charged to its account's rate yet.
+  };
+  std::map<std::string, FirstRefusal> m_firstRefusals; ///< By refused job.
   std::deque<std::string> m_refusalOrder; ///< Refused jobs, oldest first; limits how many are kept.
   std::set<std::string> m_deferredCancels; ///< Cancelled jobs that the scheduler does not have yet.
   std::vector<platform::Row> m_deferredInboxRows; ///< Inbox rows that arrived before loading ended.
@@ -153,6 +169,8 @@
   TimerHandle m_recoveryLogTimer;
   TimerHandle m_decisionTimer;
   TimerHandle m_drainTimer;
+  std::size_t m_unloggedExcess = 0; ///< Refused jobs since the last line about them.
+  TimePoint m_excessLoggedAt{};
   TimePoint m_loadedAt{};
   TimePoint m_nextDecisionAt{};  ///< Earliest time of a decision that is made on request.
   TimePoint m_drainedReportAt{}; ///< Latest report that listed drained machines.
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -126,7 +126,10 @@
     kInboxTable, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); }, [] {});
   m_periodicTimer = m_context.m_timers.Every(kDecisionPeriod, 0, [this] { DecideNow(); });
   m_recoveryLogTimer = m_context.m_timers.Every(kRecoveryLogPeriod, 0, [this] { LogRecovery(); });
-  m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] { LogWaiting(); });
+  m_logTimer = m_context.m_timers.Every(kWaitingLogPeriod, 0, [this] {
+    LogWaiting();
+    LogAccountShares();
+  });
   DecideNow();
 }
 
