--- a/include/mustardtray/job/AllowanceBook.h
+++ b/include/mustardtray/job/AllowanceBook.h
@@ -62,6 +62,11 @@
   /// Returns the allowance in force.
   Resources Allowance(const std::string& aAccount) const;
   Resources Used(const std::string& aAccount) const;
+  /// Allowance in a report; during a recovery the basic one counts as held.
+  Resources ReportedAllowance(const std::string& aAccount) const
+  {
+    return m_granted.contains(aAccount) ? Allowance(aAccount) : BasicOf(aAccount);
+  }
   /// Returns the report on all accounts with anything to report. aWanting: by account, what waits
   /// (m_wanted without the use, m_largest) and arrives.
   AccountReport Report(std::uint64_t aOwner,
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "mustardtray/job/AccountRates.h"
 #include "mustardtray/job/Admission.h"
 #include "mustardtray/job/AdviceCache.h"
 #include "mustardtray/job/AllowanceBook.h"
@@ -18,6 +19,7 @@
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
 #include "mustardtray/job/MinionSpeeds.h"
+#include "mustardtray/job/FairShare.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PlacementForecast.h"
 #include "mustardtray/job/PoolState.h"
@@ -31,6 +33,7 @@
   Millis m_maxRunLease{ 6'000 };     ///< Longest lease that an owner asks for.
   Millis m_maxGrantedLease{ 6'000 }; ///< Longest lease that a minion grants.
   bool m_learnsRunTimes = false;     ///< See RunTimeCorrection.
+  AccountRateLimits m_accountRates;
 };
 
 /// A crash of a minion, for logs.
@@ -100,6 +103,13 @@
   Millis m_leaseLeft{ 0 }; ///< Negative: the lease has ended, but no later call has failed.
 };
 
+/// An account that uses or wants something in a shard, for logs.
+struct AccountState
+{
+  FairShare::Share m_share;
+  std::size_t m_excessRefusals = 0; ///< Since the last call.
+};
+
 /// How long a refused job counts as demand: its caller retries within about this time.
 inline constexpr Millis kRefusedDemandTime{ 1'500 };
 
@@ -114,6 +124,7 @@
   PoolScheduler(PoolPolicy aPolicy, TimePoint aNow)
     : m_policy(aPolicy)
     , m_beganAt(aNow)
+    , m_accountRates(aPolicy.m_accountRates)
   {
   }
 
@@ -131,7 +142,8 @@
                                       Millis aSinceFirstAttempt,
                                       TimePoint aNow) const;
   /// Adds a job that has been stored. aFirstSeen: time of the caller's first attempt.
-  void AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate);
+  /// aIsExcess: the job is beyond its account's rate.
+  void AddJob(JobRecord aRecord, TimePoint aFirstSeen, bool aIsLate, bool aIsExcess = false);
   /// Cancels a job unless it has ended; returns false when the job is unknown.
   bool CancelJob(const std::string& aId, TimePoint aNow);
   const Job* FindJob(const std::string& aId) const;
@@ -143,12 +155,8 @@
   /// Called when the store has the job's progress up to a revision.
   void OnProgressSaved(const std::string& aId, std::uint64_t aRevision);
 
-  // Client accounts.
+  // Limits of client accounts.
 
-  /// Sets the accounts of the configuration in force.
-  void SetAccounts(const std::vector<AccountSpec>& aAccounts);
-  /// Sets the first attempts per second of each account in all shards.
-  void SetAccountRates(const std::map<std::string, double>& aRates, TimePoint aNow);
   /// aShards: of all pools; 0 while it is not known.
   void SetAccountShards(std::size_t aShards) { m_allowances.SetShards(aShards); }
   /// aOwner: token of this owner's claim.
@@ -219,6 +227,30 @@
   void OnFirstAttempt(const JobRecord& aRecord, TimePoint aNow);
 
   const RunTimeCorrection& RunTimes() const { return m_runTimeCorrection; }
+  // Rates and shares of client accounts.
+
+  /// Sets the accounts of the configuration in force.
+  void SetAccounts(const std::vector<AccountSpec>& aAccounts);
+  /// Sets the arrivals per second of each account at all owners together. Without an update for a
+  /// while, only the arrivals at this owner count.
+  void SetAccountRates(const std::map<std::string, double>& aRates, TimePoint aNow)
+  {
+    m_accountRates.SetFleetRates(aRates, aNow);
+  }
+  /// Arrivals per second at this owner, by account.
+  std::map<std::string, double> AccountArrivals(TimePoint aNow) const
+  {
+    return m_accountRates.ArrivalsPerSecond(aNow);
+  }
+  /// Returns whether a job is within its account's rate, and charges it if so. Called once for each
+  /// job that is within the rate, after OnFirstAttempt().
+  bool ChargeRate(const JobRecord& aRecord, TimePoint aNow);
+  /// Called for a job beyond its account's rate: returns when to retry if it has to be refused,
+  /// because room is short.
+  std::optional<Millis> RefuseExcess(const JobRecord& aRecord, TimePoint aNow);
+  /// Describes the accounts that use or want something, first those furthest above their share.
+  std::vector<AccountState> TakeAccountStates(TimePoint aNow);
+
   MinionTable& Minions() { return m_minions; }
   const MinionTable& Minions() const { return m_minions; }
   const JobTable& Jobs() const { return m_jobs; }
@@ -310,6 +342,12 @@
   /// answer a call that was sent later.
   bool IsLost(const MinionState& aMinion, TimePoint aNow) const;
   void PlaceQueued(TimePoint aNow);
+  /// Orders the steps of accounts above their share, and of jobs beyond their account's rate,
+  /// behind others of the same priority and lateness. No effect without accounts.
+  void OrderByShares(TimePoint aNow);
+  FairShare MeasureShares(TimePoint aNow) const;
+  /// Whether the units that can start at once fit beside all units that wait.
+  bool HasRoomFor(const JobSpec& aSpec, TimePoint aNow) const;
   /// aMayUseCordoned: see PlacementRequest::m_mayUseCordoned.
   bool PlaceUnits(QueuedStep& aQueued, bool aMayUseCordoned, TimePoint aNow);
   bool PlaceGang(QueuedStep& aQueued, TimePoint aNow);
@@ -415,12 +453,13 @@
   RunTimeCorrection m_runTimeCorrection{ m_policy.m_learnsRunTimes };
   MinionSpeeds m_minionSpeeds;
   ArrivalRate m_arrivals;
+  AccountRates m_accountRates;
+  std::unordered_map<std::string, double> m_accountWeights;
+  std::unordered_map<std::string, std::size_t> m_excessRefusals; ///< By account; for logs.
   AdviceCache m_advice;
   CrashHistory m_crashHistory;
   std::vector<AccountSpec> m_accounts;
   AllowanceBook m_allowances;
-  std::map<std::string, double> m_accountRates; ///< First attempts per second in all shards.
-  TimePoint m_accountRatesAt{};                 ///< When the rates were set.
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
   PoolOrders m_orders;
 };
--- a/src/job/AllowanceBook.cpp
+++ b/src/job/AllowanceBook.cpp
@@ -159,7 +159,7 @@
     }
   }
   for (auto& [name, use] : report.m_accounts) {
-    use.m_allowance = m_granted.contains(name) ? Allowance(name) : BasicOf(name);
+    use.m_allowance = ReportedAllowance(name);
     use.m_used = Used(name);
     use.m_wanted += use.m_used; // The caller has set what waits.
   }
--- a/src/job/PoolSchedulerAccounts.cpp
+++ b/src/job/PoolSchedulerAccounts.cpp
@@ -8,12 +8,11 @@
 {
   m_accounts = aAccounts;
   m_allowances.SetAccounts(aAccounts);
-}
-
-void PoolScheduler::SetAccountRates(const std::map<std::string, double>& aRates, TimePoint aNow)
-{
-  m_accountRates = aRates;
-  m_accountRatesAt = aNow;
+  m_accountRates.SetAccounts(aAccounts);
+  m_accountWeights.clear();
+  for (const AccountSpec& account : aAccounts) {
+    m_accountWeights[account.m_name] = account.m_weight;
+  }
 }
 
 std::map<std::string, Resources> PoolScheduler::MeasureAccountUse() const
@@ -93,7 +92,16 @@
     }
     use.m_largest = MaxOf(use.m_largest, spec.TotalNeed(spec.m_isGang));
   }
-  return m_allowances.Report(aOwner, waiting);
+  AccountReport report = m_allowances.Report(aOwner, waiting);
+  for (const auto& [account, rate] : AccountArrivals(aNow)) {
+    // An account that only submits is listed, too: its rate is the sum over all shards.
+    const auto [entry, isNew] = report.m_accounts.try_emplace(account);
+    entry->second.m_arrivals = rate;
+    if (isNew) {
+      entry->second.m_allowance = m_allowances.ReportedAllowance(account);
+    }
+  }
+  return report;
 }
 
 } // namespace mustardtray::job
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -211,6 +211,9 @@
   {
     m_callerServer->SetMaxBodyBytes(m_context.m_deployment.m_maxBodyBytes);
     m_operatorFollower->SetWait(OperatorPollWait());
+    for (const auto& [pool, owner] : m_owners) {
+      owner->OnConfiguration();
+    }
     m_shardDirectory->FollowUntilComplete();
     m_membership->RequestDecision();
   }
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -24,7 +24,8 @@
 {
   return { MaxRunLease(aContext),
            aContext.m_settings.m_bounds.m_maxRunLease,
-           aContext.m_settings.m_hasAccounts };
+           true,
+           { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack } };
 }
 
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
@@ -137,6 +138,7 @@
     LogWaiting();
     LogAllowances();
     LogRunTimes();
+    LogAccountShares();
   });
   DecideNow();
 }
