Node: log minions that are slow against their peers

Cause: a slow minion gets work last, and no log line showed which minions that are. Change: the line minions-slow (count, at most 8 names) with the learned run times, each period in which those changed.

--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxLoggedSteps = 3;
 /// Learned run times that are logged at a time.
 constexpr std::size_t kMaxLoggedRunTimes = 4;
+/// Minions that are slow against their peers and are logged at a time.
+constexpr std::size_t kMaxLoggedSlowMinions = 8;
 /// Awaited minions that are logged at a time.
 constexpr std::size_t kMaxLoggedAwaited = 8;
 /// Units that are logged with a crash of their minion.
@@ -92,6 +94,24 @@
         "ends",
         time.m_count);
   }
+  std::size_t slow = 0;
+  std::string names;
+  for (const auto& [id, minion] : m_scheduler.Minions()) {
+    if (minion.m_isSlow && ++slow <= kMaxLoggedSlowMinions) {
+      names += (names.empty() ? "" : ",") + id;
+    }
+  }
+  if (slow > 0) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "minions-slow",
+        "pool",
+        Pool(),
+        "count",
+        slow,
+        "minions",
+        names);
+  }
 }
 
 void PoolOwner::LogRecovery()
