--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -24,7 +24,7 @@
 {
   return { MaxRunLease(aContext),
            aContext.m_settings.m_bounds.m_maxRunLease,
-           true,
+           false,
            { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack } };
 }
 
