Platform, node: a setting for learned run times, off by default

Change: scheduler.learned_run_times in the settings file switches them on; the default is the single factor of before.

--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -24,8 +24,9 @@
 {
   return { MaxRunLease(aContext),
            aContext.m_settings.m_bounds.m_maxRunLease,
-           false,
-           { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack } };
+           aContext.m_settings.m_learnsRunTimes,
+           { aContext.m_settings.m_bounds.m_rateWindow,
+             aContext.m_settings.m_bounds.m_rateSlack } };
 }
 
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
--- a/tests/platform/NodeSettingsTest.cpp
+++ b/tests/platform/NodeSettingsTest.cpp
@@ -52,6 +52,9 @@
   CHECK(settings.value().m_bounds.m_isRevocationStrict);
   CHECK(settings.value().m_bounds.m_rateWindow == Millis(4'000));
   CHECK(settings.value().m_memoryMb == 160);
+  CHECK_FALSE(settings.value().m_learnsRunTimes);
+  CHECK(
+    ParseNodeSettings(kComplete + "scheduler.learned_run_times=true\n").value().m_learnsRunTimes);
 }
 
 TEST_CASE("ParseNodeSettings names a missing or malformed field in the error")
