Scheduler: units wait for the rack of their data if that is expected to be faster

Cause: a remote rack was a fixed penalty in the placement score; a unit started far_x times slower elsewhere even when its rack had room shortly.

Change: LocalityWait compares the expected ends of the runs in the rack with the time that another rack adds, within the job's slack, and sets the end of the wait once. No wait while units fit nowhere, the rack is unusable, hot or overloaded, or the job is late or excess. far_x that is not in the settings file now counts as 1, so nothing waits there.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -18,8 +18,8 @@
 #include "mustardtray/job/ArrivalRate.h"
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Deployment.h"
-#include "mustardtray/job/MinionSpeeds.h"
 #include "mustardtray/job/FairShare.h"
+#include "mustardtray/job/MinionSpeeds.h"
 #include "mustardtray/job/Placement.h"
 #include "mustardtray/job/PlacementForecast.h"
 #include "mustardtray/job/PoolState.h"
@@ -34,6 +34,8 @@
   Millis m_maxGrantedLease{ 6'000 }; ///< Longest lease that a minion grants.
   bool m_learnsRunTimes = false;     ///< See RunTimeCorrection.
   AccountRateLimits m_accountRates;
+  /// Factor by which units run longer away from the rack of their data; 1: no unit waits for it.
+  double m_remoteDataSlowdown = 1.0;
 };
 
 /// A crash of a minion, for logs.
@@ -55,7 +57,9 @@
   std::vector<AdviceRequest> m_adviceRequests;
   std::vector<CrashNotice> m_crashes;
   std::vector<std::string> m_lapsedCordons; ///< Machines whose cordons have not been renewed.
-  std::vector<std::string> m_unsavedJobs;   ///< Jobs whose progress has to be written to the store.
+  std::optional<LocalityWaitNotice> m_localityWait;              ///< One of those that have ended.
+  std::map<LocalityReason, std::size_t> m_localityWaitsByReason; ///< All that have ended.
+  std::vector<std::string> m_unsavedJobs; ///< Jobs whose progress has to be written to the store.
 };
 
 /// Load of a pool, for the planner of machine moves. CPU is in thousandths of a core.
@@ -373,6 +377,25 @@
               std::uint32_t aOccurrence,
               std::uint32_t aStep,
               TimePoint aNow) const;
+  /// Returns when a unit of the step has to start to meet the job's objective.
+  TimePoint LatestStart(const Job& aJob, std::uint32_t aOccurrence, std::uint32_t aStep) const;
+  /// Whether a unit that would start on aMinion waits for the rack of its data instead.
+  bool WaitsForRack(QueuedStep& aQueued,
+                    std::uint32_t aIndex,
+                    const PlacementRequest& aRequest,
+                    const MinionState& aMinion,
+                    TimePoint aNow);
+  void EndLocalityWait(const QueuedStep& aQueued,
+                       std::uint32_t aIndex,
+                       LocalityWait& aWait,
+                       LocalityReason aReason,
+                       TimePoint aNow);
+  /// Whether all units of the step that have not started wait for the rack of their data.
+  static bool OnlyWaitsForRack(const QueuedStep& aQueued);
+  LocalityInputs LocalityInputsFor(const QueuedStep& aQueued, TimePoint aNow);
+  /// Returns the minions of the rack that accept work.
+  const std::vector<LocalMinion>& LocalMinions(const std::string& aRack, TimePoint aNow);
+  Millis RemainingTime(const MinionState& aMinion, const Run& aRun, TimePoint aNow) const;
   void ThrottleBestEffortRuns(TimePoint aNow);
   /// Accepted work that is not done, in core-milliseconds, without long-running work.
   struct Backlog
@@ -461,6 +484,10 @@
   std::vector<AccountSpec> m_accounts;
   AllowanceBook m_allowances;
   std::deque<std::pair<TimePoint, double>> m_refusedDemand; ///< Usable cores of refused jobs.
+  /// By rack; valid in the current pass until a unit starts in the rack.
+  std::map<std::string, std::vector<LocalMinion>> m_localMinions;
+  std::map<std::string, Resources> m_waitingForRack; ///< By rack, in the current pass.
+  bool m_hasUnplaced = false; ///< In the latest or the current pass, a unit fitted on no minion.
   PoolOrders m_orders;
 };
 
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -13,6 +13,7 @@
 
 #include "mustardtray/job/CrashHistory.h"
 #include "mustardtray/job/Job.h"
+#include "mustardtray/job/LocalityWait.h"
 #include "mustardtray/job/Minion.h"
 #include "mustardtray/job/RunTimeCorrection.h"
 #include "mustardtray/process/Time.h"
@@ -40,6 +41,8 @@
   std::vector<Unit> m_units;
   std::uint32_t m_doneCount = 0;
   bool m_isQueued = false; ///< Listed among the steps with units to start.
+  /// By unit: waits for the rack of the data. Not stored: a new owner may let a unit wait again.
+  std::map<std::uint32_t, LocalityWait> m_localityWaits;
 
   bool IsDone() const { return m_doneCount == m_units.size(); }
 };
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -34,6 +34,20 @@
 
 } // namespace
 
+TimePoint PoolScheduler::LatestStart(const Job& aJob,
+                                     std::uint32_t aOccurrence,
+                                     std::uint32_t aStep) const
+{
+  const QueuePolicy& queuePolicy = aJob.m_record.m_queuePolicy;
+  const CorrectedPaths& paths = PathsOf(aJob);
+  const bool isScheduled = aJob.m_record.m_spec.m_repeatCount > 0;
+  const Millis objective =
+    Scaled(paths.m_critical, queuePolicy.m_stretch) + queuePolicy.m_extraTime;
+  const TimePoint begin =
+    isScheduled ? aJob.m_occurrences.at(aOccurrence).m_dueAt : aJob.m_arrivedAt;
+  return begin + objective - paths.m_pathFrom[aStep];
+}
+
 double PoolScheduler::Rank(const Job& aJob,
                            std::uint32_t aOccurrence,
                            std::uint32_t aStep,
@@ -43,13 +57,7 @@
   if (aJob.m_record.m_spec.m_steps[aStep].m_isLongRunning) {
     return kLongRunningRank;
   }
-  const CorrectedPaths& paths = PathsOf(aJob);
-  const bool isScheduled = aJob.m_record.m_spec.m_repeatCount > 0;
-  const Millis objective =
-    Scaled(paths.m_critical, queuePolicy.m_stretch) + queuePolicy.m_extraTime;
-  const TimePoint begin =
-    isScheduled ? aJob.m_occurrences.at(aOccurrence).m_dueAt : aJob.m_arrivedAt;
-  const TimePoint latestStart = begin + objective - paths.m_pathFrom[aStep];
+  const TimePoint latestStart = LatestStart(aJob, aOccurrence, aStep);
   double rank = ToMs(latestStart) + kRankPerPriority * queuePolicy.m_priority;
   if (aJob.m_isLate || aNow > latestStart + kLateTolerance) {
     rank += kLateRankPenalty;
@@ -95,6 +103,9 @@
   std::vector<QueuedStep> remaining;
   std::vector<Resources> unplaceable;
   std::optional<std::vector<PlaceClaim>> claims;
+  m_localMinions.clear();
+  m_waitingForRack.clear();
+  bool hasUnplaced = false;
   for (QueuedStep& queued : m_queued) {
     if (!claims && !queued.Spec().m_isLongRunning) {
       // Other units must not take the places of those that are being stopped.
@@ -111,6 +122,7 @@
                                       [&](const Resources& aTried) { return need.Fits(aTried); });
     if (isUnplaceable) {
       remaining.push_back(queued);
+      hasUnplaced = true;
       continue;
     }
     // Units of inherited jobs may still run on a minion that has not answered yet.
@@ -128,10 +140,14 @@
       const bool isUnconstrained = !isBlocked && !needsAdvice && !spec.m_isGang &&
                                    spec.m_requiredLabel.empty() && spec.m_maxPerMinion == 0 &&
                                    !hasIsolatedUnit && !HasUnsavedFailure(queued) &&
-                                   !WaitsForAllowance(queued);
+                                   !WaitsForAllowance(queued) && !OnlyWaitsForRack(queued);
       if (isUnconstrained) {
         unplaceable.push_back(need);
       }
+      const bool lacksRoom = !isBlocked && !needsAdvice && !HasUnsavedFailure(queued) &&
+                             !WaitsForAllowance(queued) && !OnlyWaitsForRack(queued);
+      hasUnplaced = hasUnplaced || lacksRoom;
+      m_hasUnplaced = m_hasUnplaced || lacksRoom;
     }
   }
   if (!claims) {
@@ -142,6 +158,7 @@
     claim.m_minion->m_used -= claim.m_reserved;
   }
   m_queued = std::move(remaining);
+  m_hasUnplaced = hasUnplaced;
 }
 
 PlacementRequest PoolScheduler::RequestFor(const QueuedStep& aQueued) const
@@ -228,6 +245,10 @@
       isComplete = false;
       continue;
     }
+    if (WaitsForRack(aQueued, i, request, *minion, aNow)) {
+      isComplete = false;
+      continue;
+    }
     StartUnit(aQueued, i, *minion, NextRun(job, unit), aNow);
   }
   return isComplete;
@@ -298,6 +319,9 @@
   Run& run = AddRun(aMinion, &unit, name, std::move(newRun));
   run.m_expectedRunTime =
     Scaled(spec.m_estimate, m_runTimeCorrection.Factor(RunTimeKeyOf(job, id, aMinion)));
+  for (const std::string& label : aMinion.m_entry.m_labels) {
+    m_localMinions.erase(label);
+  }
   std::string ticket;
   if (job.m_record.m_queuePolicy.m_needsAdvice) {
     const std::string* known = m_advice.FindTicket(StepName(name), aMinion.m_entry.m_id, aNow);
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -40,7 +40,7 @@
     }
   }
   for (const QueuedStep& queued : m_queued) {
-    if (WaitsForAllowance(queued)) {
+    if (WaitsForAllowance(queued) || OnlyWaitsForRack(queued)) {
       continue; // More machines would not help it.
     }
     load.m_waitingCpu += queued.Spec().Reserved().m_cpu * CountWaiting(queued);
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -119,6 +119,8 @@
   /// Logs the minions that inherited jobs wait for, until there are none.
   void LogRecovery();
   void LogCrash(const job::CrashNotice& aNotice) const;
+  /// Logs one of the waits for a rack that have ended, and the number of all by reason.
+  void LogLocalityWaits(const job::PoolOrders& aOrders);
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
   void SendStop(const job::StopOrder& aOrder);
@@ -159,6 +161,8 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   job::PoolScheduler m_scheduler;
   std::uint64_t m_loggedRunTimes = 0; ///< Revision of the run times that were logged last.
+  TimePoint m_localityLogAt{};        ///< Time of the latest line.
+  std::map<job::LocalityReason, std::size_t> m_localityWaits; ///< Ended since that line.
   PoolBatchWriter m_batchWriter;
   PartitionReader m_reader;
   std::map<std::string, std::unique_ptr<MinionSession>> m_sessions;
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -25,7 +25,8 @@
   return { MaxRunLease(aContext),
            aContext.m_settings.m_bounds.m_maxRunLease,
            true,
-           { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack } };
+           { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack },
+           aContext.m_settings.m_bounds.m_remoteDataSlowdown };
 }
 
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -176,6 +176,7 @@
   for (const job::CrashNotice& notice : aOrders.m_crashes) {
     LogCrash(notice);
   }
+  LogLocalityWaits(aOrders);
   for (const std::string& machine : aOrders.m_lapsedCordons) {
     Log(LogCategory::Fleet, LogLevel::Info, "cordon-lapsed", "pool", Pool(), "machine", machine);
   }
