--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -25,8 +25,9 @@
   return { MaxRunLease(aContext),
            aContext.m_settings.m_bounds.m_maxRunLease,
            aContext.m_settings.m_learnsRunTimes,
-           { aContext.m_settings.m_bounds.m_rateWindow,
-             aContext.m_settings.m_bounds.m_rateSlack } };
+           { aContext.m_settings.m_bounds.m_rateWindow, aContext.m_settings.m_bounds.m_rateSlack },
+           aContext.m_settings.m_waitsForData ? aContext.m_settings.m_bounds.m_remoteDataSlowdown
+                                              : 1.0 };
 }
 
 Millis PoolOwner::LongestInheritedLease(const UsedMinion& aMinion) const
