Node: log answers to orders whose clock is not that of the known incarnation

The logs could not tell whether a start was carried out late, by the incarnation that the owner knew, or by the next one, and over which connection it went.

HttpClient numbers its connections; a response names the one that it came on. An answer to a start whose clock differs from the expected one by more than 500 ms is logged with both clocks and with whether the known incarnation has listed its runs on that connection.

--- a/include/mustardtray/connection/HttpMessage.h
+++ b/include/mustardtray/connection/HttpMessage.h
@@ -2,6 +2,7 @@
 
 /// HTTP requests and responses, independent of the types of the HTTP libraries in use.
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -42,6 +43,8 @@
   int m_status = 200;
   HttpHeaders m_headers;
   std::string m_body;
+  /// Set by HttpClient: the connection that it came on; see ConnectionNumbers.
+  std::uint64_t m_connection = 0;
 
   const std::string* Header(std::string_view aName) const { return FindHeader(m_headers, aName); }
 };
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -81,6 +81,7 @@
     transfer->m_callback = std::move(aCallback);
     transfer->m_headers = MakeHeaderList(transfer->m_call.m_headers);
     transfer->m_easy = AcquireHandle();
+    transfer->m_connectionNumbers = &m_connectionNumbers;
     SetOptions(*transfer);
     CURL* easy = transfer->m_easy;
     const CallId id = transfer->m_id;
@@ -162,6 +163,8 @@
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &aTransfer);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseWithReset);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -408,6 +411,7 @@
   std::set<std::pair<std::chrono::steady_clock::time_point, CallId>> m_deadlines;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> m_socketWatches;
   std::vector<CURL*> m_handlePool;
+  ConnectionNumbers m_connectionNumbers;
 };
 
 HttpClient::HttpClient(asio::io_context& aContext, std::string aLocalAddress)
--- a/src/connection/HttpTransfer.cpp
+++ b/src/connection/HttpTransfer.cpp
@@ -68,15 +68,24 @@
   return line.size();
 }
 
-int OnRequest(void* aTransfer, char*, char*, int, int)
+int OnRequest(void* aTransfer, char* aPeerAddress, char*, int aPeerPort, int aLocalPort)
 {
   auto* transfer = static_cast<Transfer*>(aTransfer);
+  transfer->m_response.m_connection = transfer->m_connectionNumbers->NumberOf(
+    { aPeerAddress, aPeerPort, aLocalPort }, transfer->m_hasOpenedSocket);
+  transfer->m_hasOpenedSocket = false;
   ++transfer->m_requestsSent;
   const bool isRepeated = transfer->m_requestsSent > 1;
   return isRepeated && !transfer->m_call.m_isRepeatable ? CURL_PREREQFUNC_ABORT
                                                         : CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t OpenSocket(void* aTransfer, curlsocktype, curl_sockaddr* aAddress)
+{
+  static_cast<Transfer*>(aTransfer)->m_hasOpenedSocket = true;
+  return socket(aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
+}
+
 int CloseWithReset(void*, curl_socket_t aSocket)
 {
   const linger reset{ 1, 0 };
--- a/src/connection/HttpTransfer.h
+++ b/src/connection/HttpTransfer.h
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include "connection/ConnectionNumbers.h"
 #include "mustardtray/connection/HttpClient.h"
 
 namespace mustardtray {
@@ -33,6 +34,8 @@
   bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
   bool m_isTooLarge = false;
   int m_requestsSent = 0;
+  ConnectionNumbers* m_connectionNumbers = nullptr;
+  bool m_hasOpenedSocket = false; ///< It does not use an idle connection.
 };
 
 /// libcurl's callback for a part of the response's body. aTransfer is the Transfer.
@@ -40,7 +43,9 @@
 /// libcurl's callback for a line of the response's header. aTransfer is the Transfer.
 std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
 /// libcurl's callback before it sends the request on a connection. aTransfer is the Transfer.
-int OnRequest(void* aTransfer, char*, char*, int, int);
+int OnRequest(void* aTransfer, char* aPeerAddress, char*, int aPeerPort, int aLocalPort);
+/// libcurl's callback that creates the socket of a new connection. aTransfer is the Transfer.
+curl_socket_t OpenSocket(void* aTransfer, curlsocktype, curl_sockaddr* aAddress);
 /// Closes with a reset. A plain close lets the kernel deliver unsent data long after the call was
 /// aborted: an order that was delayed by a network partition must not arrive when it heals.
 int CloseWithReset(void*, curl_socket_t aSocket);
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -1,6 +1,7 @@
 #include "node/MinionSession.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "mustardtray/process/Log.h"
 #include "node/PoolOwner.h"
@@ -27,6 +28,9 @@
 /// Between calls that return at once, to batch run ends.
 constexpr Millis kBatchInterval{ 15 };
 constexpr Millis kRetryDelay{ 150 };
+/// The clock in an answer may differ by this from its estimate: time for the way, and a clock that
+/// runs 2% slow between two lists of runs.
+constexpr Millis kClockTolerance{ 500 };
 
 bool HasStartingLongRunningUnit(const job::MinionState& aMinion)
 {
@@ -59,6 +63,38 @@
   return m_clock.EstimateAt(aNow) + lease.count();
 }
 
+void MinionSession::CheckClock(const platform::OrderResponse& aResponse,
+                               const std::string& aUnit,
+                               std::uint32_t aRun) const
+{
+  const std::int64_t expectedMs = m_clock.EstimateAt(LeaseClockNow());
+  if (aResponse.m_clockMs == 0 || !m_clock.IsKnown() ||
+      std::abs(aResponse.m_clockMs - expectedMs) <= kClockTolerance.count()) {
+    return;
+  }
+  Log(LogCategory::Placement,
+      LogLevel::Warning,
+      "minion-clock-differs",
+      "minion",
+      m_minion,
+      "unit",
+      aUnit,
+      "run",
+      aRun,
+      "result",
+      ToName(aResponse.m_result),
+      "clock-ms",
+      aResponse.m_clockMs,
+      "expected-ms",
+      expectedMs,
+      "born",
+      m_knownStartMs,
+      "connection",
+      aResponse.m_connection,
+      "has-listed", // Whether the incarnation that this node knows has answered on the connection.
+      m_connections.contains(aResponse.m_connection));
+}
+
 void MinionSession::ScheduleHold(Millis aDelay)
 {
   m_nextCallTimer = m_owner.m_context.m_timers.After(aDelay, [this] { SendHold(); });
@@ -117,9 +153,9 @@
     { minion.m_entry.m_address, m_minion, m_owner.m_claim.m_version },
     request,
     request.m_wait + kCallTimeoutMargin,
-    [this, now, alive = std::weak_ptr<int>(m_alive)](Result<job::LeaseReport> aReport) {
+    [this, now, alive = std::weak_ptr<int>(m_alive)](Result<platform::HoldResponse> aResponse) {
       if (!alive.expired()) {
-        OnHoldReport(std::move(aReport), now);
+        OnHoldReport(std::move(aResponse), now);
       }
     });
 }
@@ -147,12 +183,12 @@
   }
 }
 
-void MinionSession::OnHoldReport(Result<job::LeaseReport> aReport, TimePoint aAskedAt)
+void MinionSession::OnHoldReport(Result<platform::HoldResponse> aResponse, TimePoint aAskedAt)
 {
   const WorkMeter::Scope scope(m_owner.m_context.m_work, WorkPart::MinionReport);
   m_isCallPending = false;
   const TimePoint now = LeaseClockNow();
-  if (!aReport) {
+  if (!aResponse) {
     if (!m_isUnreachable) {
       Log(LogCategory::Fleet,
           LogLevel::Warning,
@@ -162,14 +198,14 @@
           "minion",
           m_minion,
           "error",
-          aReport.error().Text());
+          aResponse.error().Text());
     }
     m_isUnreachable = true;
     m_owner.m_scheduler.OnLeaseExtensionFailed(m_minion, aAskedAt);
     ScheduleHold(kRetryDelay);
     return;
   }
-  const job::LeaseReport& report = aReport.value();
+  const job::LeaseReport& report = aResponse.value().m_report;
   if (m_isUnreachable) {
     m_isUnreachable = false;
     Log(LogCategory::Fleet,
@@ -183,7 +219,9 @@
   if (report.m_startedAtMs != m_knownStartMs) {
     m_knownStartMs = report.m_startedAtMs;
     m_savedEndNumber = 0;
+    m_connections.clear();
   }
+  m_connections.insert(aResponse.value().m_connection);
   LogRunEnds(report);
   const bool isFirstReport = !m_clock.IsKnown();
   m_clock.Update(report.m_clockMs, now);
--- a/src/node/MinionSession.h
+++ b/src/node/MinionSession.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "node/NodeContext.h"
@@ -51,6 +52,10 @@
   const MinionClock& Clock() const { return m_clock; }
   /// Expires when the session ends.
   std::weak_ptr<int> Alive() const { return m_alive; }
+  /// Logs an answer to an order whose clock is not that of the known incarnation.
+  void CheckClock(const platform::OrderResponse& aResponse,
+                  const std::string& aUnit,
+                  std::uint32_t aRun) const;
   /// Called when the run ends up to this number are in the store.
   void OnRunEndsSaved(std::uint64_t aEndNumber);
   /// Time, in milliseconds of the minion's clock, up to which orders and leases that are sent now
@@ -62,7 +67,7 @@
   void ScheduleHold(Millis aDelay);
   /// Logs each newly reported run end that is not a success.
   void LogRunEnds(const job::LeaseReport& aReport) const;
-  void OnHoldReport(Result<job::LeaseReport> aReport, TimePoint aAskedAt);
+  void OnHoldReport(Result<platform::HoldResponse> aResponse, TimePoint aAskedAt);
 
   PoolOwner& m_owner;
   std::string m_minion;
@@ -70,6 +75,8 @@
   MinionClock m_clock;
   std::uint64_t m_savedEndNumber = 0;
   std::int64_t m_knownStartMs = 0;
+  /// Connections on which the known incarnation has listed its runs.
+  std::set<std::uint64_t> m_connections;
   bool m_isCallPending = false;
   bool m_isUnreachable = false;
   std::uint64_t m_pendingAcknowledgement = 0; ///< Run end that the pending call acknowledges.
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -303,6 +303,9 @@
             "reason",
             ToName(aResponse.m_result));
       }
+      if (const auto session = m_sessions.find(aOrder.m_minion); session != m_sessions.end()) {
+        session->second->CheckClock(aResponse, aOrder.m_unit, aOrder.m_run);
+      }
       m_scheduler.OnStartAnswer(aOrder, aResponse.m_result, LeaseClockNow());
       if (aResponse.m_result != job::OrderResult::Started) {
         RequestDecision();
--- a/tests/platform/OddListTest.cpp
+++ b/tests/platform/OddListTest.cpp
@@ -261,7 +261,7 @@
       client.Hold({ server.Address().Text(), "i", 1 },
                   {},
                   kTimeout,
-                  [&](const Result<job::LeaseReport>& aReport) {
+                  [&](const Result<HoldResponse>& aReport) {
                     isDone = true;
                     CHECK_FALSE(aReport);
                   });
