Known red: orders reach an incarnation of a minion that has not listed its runs

Two cases fail: after a restart under the same ID, starts and lease extensions that were meant for the former incarnation are sent to the next one.

--- /dev/null
+++ b/tests/node/MinionRestartTest.cpp
@@ -0,0 +1,40 @@
+#include "tests/node/PoolOwnerFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace mustardtray;
+using namespace mustardtray::node;
+
+/// Orders around a restart of a minion under its ID, of which its owner has not heard.
+
+// Guards against TWICE: the start was carried out by the next incarnation, whose leases last
+// longer.
+TEST_CASE("a start is not sent to an incarnation that has not listed its runs")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  fixture.RestartMinion();
+  fixture.m_owner->Submit(job::MakeJob(kJob, 1, 100), [](SubmitResult) {});
+  fixture.m_io.run_for(Millis(300));
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry()); // With the start time of the next one.
+  CHECK(fixture.RunUntil([&] { return fixture.m_startedRuns > 0; }));
+  CHECK(fixture.m_startsAtUnlisted == 0);
+}
+
+// Guards against TWICE: a time on the clock of one incarnation is a far longer lease on the next.
+TEST_CASE("a lease is not extended at an incarnation that has not listed its runs")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
+  for (int restart = 0; restart < 5; ++restart) {
+    // Between two calls the owner does not see that the connections have ended.
+    const int calls = fixture.m_minionCalls;
+    REQUIRE(fixture.RunUntil([&] { return fixture.m_minionCalls > calls; }));
+    fixture.m_io.run_for(PoolOwnerFixture::kAnswerDelay + Millis(5));
+    fixture.RestartMinion();
+    fixture.m_io.run_for(Millis(300));
+  }
+  CHECK(fixture.m_extensionsAtUnlisted == 0);
+}
