Node: send calls only on connections of the incarnation that they are meant for

Cause: a call names a minion by its ID alone, so the next incarnation under the same ID carries out what was meant for the former one. A time on the former clock is another time on the new one: a start may get a lease of the minions' maximum of 10 s while its owner believes in 3 s. The owner hears of the restart up to 2.4 s later, when its pending call times out. When the minion is cut off before that, the unit is started elsewhere too early.

A connection ends with its incarnation. So starts, stops, speed limits, and lease extensions with a time or an acknowledgement are sent only on connections on which the known incarnation has answered with its list of runs. A connection begins with a call that only asks for the list. If no such connection is free, the order is not sent, which is known for certain, and its unit need not wait. A connection that finds another incarnation ends the pending call.

--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "mustardtray/connection/ConnectionSet.h"
 #include "mustardtray/connection/HttpMessage.h"
 #include "mustardtray/process/Error.h"
 #include "mustardtray/process/Time.h"
@@ -31,6 +32,8 @@
   /// False: the call fails when libcurl would send its request a second time, because a reused
   /// connection broke before the response.
   bool m_isRepeatable = true;
+  /// If set, the request is sent on one of these connections, or the call fails without sending it.
+  std::shared_ptr<const ConnectionSet> m_allowedConnections;
   std::uint64_t m_maxResponseBytes = 64u << 20;
   std::string m_step = "http call"; ///< Step that is named in errors.
   std::string m_caFile;             ///< For https: PEM file of the trusted certificate authority.
@@ -40,8 +43,11 @@
 struct HttpCallFailure
 {
   Error m_error;
-  /// True when no connection was established, so the peer cannot have received the request.
+  /// True when no connection was established or no allowed one was free, so the peer cannot have
+  /// received the request.
   bool m_isNotSent = false;
+  /// None of HttpCall::m_allowedConnections was free; another one was closed.
+  bool m_lacksConnection = false;
 };
 
 using HttpCallResult = boost::outcome_v2::
--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -106,6 +106,7 @@
   Unhealthy,        ///< The minion is unhealthy and did nothing.
   OtherIncarnation, ///< The minion has restarted under the same id.
   Rejected,         ///< The minion did nothing, for another reason.
+  NotSent,          ///< There was no connection to the incarnation that the order is meant for.
   NoAnswer,         ///< Unknown: the order may have been carried out or still be.
 };
 
@@ -172,6 +173,7 @@
     std::pair{ job::OrderResult::Unhealthy, std::string_view("unhealthy") },
     std::pair{ job::OrderResult::OtherIncarnation, std::string_view("other-life") },
     std::pair{ job::OrderResult::Rejected, std::string_view("rejected") },
+    std::pair{ job::OrderResult::NotSent, std::string_view("not-sent") },
     std::pair{ job::OrderResult::NoAnswer, std::string_view("no-answer") },
   };
 };
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -381,23 +381,29 @@
     long requestBytes = 0;
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_CONNECT_TIME_T, &connectTime);
     curl_easy_getinfo(aTransfer.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    const bool isNotSent = connectTime == 0 && requestBytes == 0 && aTransfer.m_requestsSent == 0;
+    const bool lacksConnection = aTransfer.m_lacksConnection && aTransfer.m_requestsSent == 0;
+    const bool isNotSent =
+      lacksConnection || (connectTime == 0 && requestBytes == 0 && aTransfer.m_requestsSent == 0);
     if (aTransfer.m_isTooLarge) {
       return MakeFailure(aTransfer, ErrorKind::Unknown, "response exceeds the size limit", false);
     }
     return MakeFailure(aTransfer,
                        isNotSent ? ErrorKind::Unavailable : ErrorKind::Unknown,
-                       curl_easy_strerror(aCode),
-                       isNotSent);
+                       lacksConnection ? "no allowed connection is free"
+                                       : curl_easy_strerror(aCode),
+                       isNotSent,
+                       lacksConnection);
   }
 
   static HttpCallFailure MakeFailure(const Transfer& aTransfer,
                                      ErrorKind aKind,
                                      std::string aMessage,
-                                     bool aNotSent)
+                                     bool aNotSent,
+                                     bool aLacksConnection = false)
   {
     return { Error{ aKind, aTransfer.m_call.m_step, aTransfer.m_call.m_url, std::move(aMessage) },
-             aNotSent };
+             aNotSent,
+             aLacksConnection };
   }
 
   asio::io_context& m_context;
--- a/src/connection/HttpTransfer.cpp
+++ b/src/connection/HttpTransfer.cpp
@@ -74,6 +74,11 @@
   transfer->m_response.m_connection = transfer->m_connectionNumbers->NumberOf(
     { aPeerAddress, aPeerPort, aLocalPort }, transfer->m_hasOpenedSocket);
   transfer->m_hasOpenedSocket = false;
+  const auto& allowed = transfer->m_call.m_allowedConnections;
+  if (allowed && !allowed->Contains(transfer->m_response.m_connection)) {
+    transfer->m_lacksConnection = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++transfer->m_requestsSent;
   const bool isRepeated = transfer->m_requestsSent > 1;
   return isRepeated && !transfer->m_call.m_isRepeatable ? CURL_PREREQFUNC_ABORT
--- a/src/connection/HttpTransfer.h
+++ b/src/connection/HttpTransfer.h
@@ -36,6 +36,7 @@
   int m_requestsSent = 0;
   ConnectionNumbers* m_connectionNumbers = nullptr;
   bool m_hasOpenedSocket = false; ///< It does not use an idle connection.
+  bool m_lacksConnection = false; ///< See HttpCallFailure.
 };
 
 /// libcurl's callback for a part of the response's body. aTransfer is the Transfer.
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -27,7 +27,7 @@
   const auto entry = minion.m_runs.find(aOrder.m_unit);
   const bool isKnown = entry != minion.m_runs.end() && entry->second.m_run == aOrder.m_run;
   if (aResult != OrderResult::NoAnswer) {
-    minion.m_missedCalls = 0;
+    minion.m_missedCalls = aResult == OrderResult::NotSent ? minion.m_missedCalls : 0;
     minion.m_openStarts.erase({ aOrder.m_unit, aOrder.m_run });
   }
   if (!isKnown) {
@@ -51,6 +51,10 @@
     case OrderResult::Late:
       minion.m_pausedUntil = aNow + kRefusalPause;
       break;
+    case OrderResult::NotSent:
+      ++minion.m_missedCalls;
+      minion.m_pausedUntil = aNow + kRefusalPause;
+      break;
     case OrderResult::NoTicket:
       m_advice.DropTicket(StepName(aOrder.m_unit), aOrder.m_minion);
       break;
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -47,6 +47,7 @@
 MinionSession::MinionSession(PoolOwner& aOwner, std::string aMinion)
   : m_owner(aOwner)
   , m_minion(std::move(aMinion))
+  , m_channel([this] { Connect(); })
 {
 }
 
@@ -92,7 +93,7 @@
       "connection",
       aResponse.m_connection,
       "has-listed", // Whether the incarnation that this node knows has answered on the connection.
-      m_connections.contains(aResponse.m_connection));
+      m_channel.Known()->Contains(aResponse.m_connection));
 }
 
 void MinionSession::ScheduleHold(Millis aDelay)
@@ -129,17 +130,18 @@
   const TimePoint now = LeaseClockNow();
   const bool hasUnsavedEnds = minion.m_lastProcessedEnd > m_savedEndNumber;
   platform::HoldRequest request;
+  // Times and run ends are those of one incarnation, so they are sent on its connections only.
+  const bool isBound = m_channel.HasFreeConnection() && !m_isUnreachable;
   // The lease of a minion that does not answer is not extended, so that its work can start
   // elsewhere when the last lease expires.
-  const bool getsNoLease = m_isUnreachable || minion.m_isLeaseFinal || m_owner.m_hasEndedLeases;
+  const bool getsNoLease = !isBound || minion.m_isLeaseFinal || m_owner.m_hasEndedLeases;
   request.m_leaseUntilMs = getsNoLease ? 0 : LeaseDeadlineMs(now);
-  // After a failed call the minion may have restarted, which restarts the numbering of run ends.
-  request.m_acknowledgedEnd = m_isUnreachable ? 0 : m_savedEndNumber;
+  request.m_acknowledgedEnd = isBound ? m_savedEndNumber : 0;
   // A minion without work may be needed elsewhere, so its last run ends are acknowledged at once.
   const bool isAcknowledging =
     minion.m_runs.empty() && minion.m_lastAcknowledgedEnd < request.m_acknowledgedEnd;
-  const bool canWait = m_clock.IsKnown() && !hasUnsavedEnds && !m_isUnreachable &&
-                       !isAcknowledging && !minion.m_hasMoreEnds;
+  const bool canWait =
+    isBound && m_clock.IsKnown() && !hasUnsavedEnds && !isAcknowledging && !minion.m_hasMoreEnds;
   request.m_wait = !canWait                             ? Millis{ 0 }
                    : minion.m_runs.empty()              ? kIdleMinionWait
                    : HasStartingLongRunningUnit(minion) ? kStartingUnitWait
@@ -149,17 +151,91 @@
   }
   m_isCallPending = true;
   m_pendingAcknowledgement = request.m_acknowledgedEnd;
-  m_owner.m_context.m_minionClient.Hold(
-    { minion.m_entry.m_address, m_minion, m_owner.m_claim.m_version },
+  m_channel.SetHeld(isBound);
+  m_pendingCall = m_owner.m_context.m_minionClient.Hold(
+    Target(minion.m_entry, isBound ? m_channel.Known() : nullptr),
     request,
     request.m_wait + kCallTimeoutMargin,
-    [this, now, alive = std::weak_ptr<int>(m_alive)](Result<platform::HoldResponse> aResponse) {
+    [this, now, alive = std::weak_ptr<int>(m_alive)](platform::HoldResult aResult) {
+      if (!alive.expired()) {
+        OnHoldReport(std::move(aResult), now);
+      }
+    });
+}
+
+platform::MinionTarget MinionSession::Target(const job::MinionEntry& aEntry,
+                                             Connections aConnections) const
+{
+  return { aEntry.m_address, m_minion, m_owner.m_claim.m_version, std::move(aConnections) };
+}
+
+void MinionSession::SendOrder(
+  Millis aTimeout,
+  std::function<void(const platform::MinionTarget&, platform::MinionClient::OrderCallback)> aSend,
+  platform::MinionClient::OrderCallback aDone)
+{
+  if (m_isUnreachable) {
+    platform::OrderResponse response;
+    response.m_result = job::OrderResult::NotSent;
+    aDone(response);
+    return;
+  }
+  ChannelOrder order;
+  order.m_deadline = LeaseClockNow() + aTimeout;
+  order.m_send = [this, send = std::move(aSend)](Connections aConnections,
+                                                 platform::MinionClient::OrderCallback aAnswered) {
+    const auto found = m_owner.m_scheduler.Minions().find(m_minion);
+    if (found == m_owner.m_scheduler.Minions().end() || !m_owner.m_context.m_lease.IsValid()) {
+      platform::OrderResponse response;
+      response.m_result = job::OrderResult::Rejected;
+      aAnswered(response);
+      return;
+    }
+    send(Target(found->second.m_entry, std::move(aConnections)), std::move(aAnswered));
+  };
+  order.m_done = std::move(aDone);
+  m_channel.Send(std::move(order));
+}
+
+void MinionSession::Connect()
+{
+  const auto found = m_owner.m_scheduler.Minions().find(m_minion);
+  if (found == m_owner.m_scheduler.Minions().end() || m_owner.m_isClosed || m_isUnreachable ||
+      !m_owner.m_context.m_lease.IsValid()) {
+    m_channel.OnConnectFailed();
+    return;
+  }
+  m_owner.m_context.m_minionClient.Hold(
+    Target(found->second.m_entry, nullptr),
+    {},
+    kCallTimeoutMargin,
+    [this, askedAt = LeaseClockNow(), alive = std::weak_ptr<int>(m_alive)](
+      platform::HoldResult aResult) {
       if (!alive.expired()) {
-        OnHoldReport(std::move(aResponse), now);
+        OnConnected(std::move(aResult), askedAt);
       }
     });
 }
 
+void MinionSession::OnConnected(platform::HoldResult aResult, TimePoint aAskedAt)
+{
+  if (!aResult) {
+    m_channel.OnConnectFailed();
+    return;
+  }
+  if (aResult.value().m_report.m_startedAtMs == m_knownStartMs) {
+    // The pending call reports the runs: two reports could be processed in the wrong order.
+    m_channel.OnListed(aResult.value().m_connection);
+    return;
+  }
+  if (m_isCallPending) {
+    // It was meant for the former incarnation, which cannot answer any more.
+    m_owner.m_context.m_minionClient.CancelHold(m_pendingCall);
+  }
+  m_nextCallTimer.Cancel();
+  OnHoldReport(std::move(aResult), aAskedAt);
+}
+
 void MinionSession::LogRunEnds(const job::LeaseReport& aReport) const
 {
   const auto found = m_owner.m_scheduler.Minions().find(m_minion);
@@ -183,12 +259,18 @@
   }
 }
 
-void MinionSession::OnHoldReport(Result<platform::HoldResponse> aResponse, TimePoint aAskedAt)
+void MinionSession::OnHoldReport(platform::HoldResult aResult, TimePoint aAskedAt)
 {
   const WorkMeter::Scope scope(m_owner.m_context.m_work, WorkPart::MinionReport);
   m_isCallPending = false;
+  m_channel.SetHeld(false);
   const TimePoint now = LeaseClockNow();
-  if (!aResponse) {
+  if (!aResult && aResult.error().m_lacksConnection) {
+    m_channel.OnLacksConnection();
+    SendHold();
+    return;
+  }
+  if (!aResult) {
     if (!m_isUnreachable) {
       Log(LogCategory::Fleet,
           LogLevel::Warning,
@@ -198,14 +280,15 @@
           "minion",
           m_minion,
           "error",
-          aResponse.error().Text());
+          aResult.error().m_error.Text());
     }
     m_isUnreachable = true;
+    m_channel.OnConnectFailed();
     m_owner.m_scheduler.OnLeaseExtensionFailed(m_minion, aAskedAt);
     ScheduleHold(kRetryDelay);
     return;
   }
-  const job::LeaseReport& report = aResponse.value().m_report;
+  const job::LeaseReport& report = aResult.value().m_report;
   if (m_isUnreachable) {
     m_isUnreachable = false;
     Log(LogCategory::Fleet,
@@ -219,14 +302,14 @@
   if (report.m_startedAtMs != m_knownStartMs) {
     m_knownStartMs = report.m_startedAtMs;
     m_savedEndNumber = 0;
-    m_connections.clear();
+    m_channel.OnRestarted();
   }
-  m_connections.insert(aResponse.value().m_connection);
   LogRunEnds(report);
   const bool isFirstReport = !m_clock.IsKnown();
   m_clock.Update(report.m_clockMs, now);
   m_owner.m_scheduler.OnLeaseReport(m_minion, report, aAskedAt, now);
   m_owner.m_scheduler.OnEndsAcknowledged(m_minion, m_pendingAcknowledgement);
+  m_channel.OnListed(aResult.value().m_connection);
   m_owner.RecordMinion(m_minion);
   m_owner.SaveUnsavedJobs();
   m_owner.RequestDecision();
--- a/src/node/MinionSession.h
+++ b/src/node/MinionSession.h
@@ -5,9 +5,9 @@
 
 #include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 
+#include "node/MinionChannel.h"
 #include "node/NodeContext.h"
 
 namespace mustardtray::node {
@@ -56,6 +56,11 @@
   void CheckClock(const platform::OrderResponse& aResponse,
                   const std::string& aUnit,
                   std::uint32_t aRun) const;
+  /// Sends an order to the known incarnation; see MinionChannel. aSend gets the target.
+  void SendOrder(
+    Millis aTimeout,
+    std::function<void(const platform::MinionTarget&, platform::MinionClient::OrderCallback)> aSend,
+    platform::MinionClient::OrderCallback aDone);
   /// Called when the run ends up to this number are in the store.
   void OnRunEndsSaved(std::uint64_t aEndNumber);
   /// Time, in milliseconds of the minion's clock, up to which orders and leases that are sent now
@@ -67,7 +72,11 @@
   void ScheduleHold(Millis aDelay);
   /// Logs each newly reported run end that is not a success.
   void LogRunEnds(const job::LeaseReport& aReport) const;
-  void OnHoldReport(Result<platform::HoldResponse> aResponse, TimePoint aAskedAt);
+  /// Asks the minion for its runs on any connection, beside the pending call.
+  void Connect();
+  void OnConnected(platform::HoldResult aResult, TimePoint aAskedAt);
+  void OnHoldReport(platform::HoldResult aResult, TimePoint aAskedAt);
+  platform::MinionTarget Target(const job::MinionEntry& aEntry, Connections aConnections) const;
 
   PoolOwner& m_owner;
   std::string m_minion;
@@ -75,8 +84,8 @@
   MinionClock m_clock;
   std::uint64_t m_savedEndNumber = 0;
   std::int64_t m_knownStartMs = 0;
-  /// Connections on which the known incarnation has listed its runs.
-  std::set<std::uint64_t> m_connections;
+  MinionChannel m_channel;
+  HttpClient::CallId m_pendingCall = 0;
   bool m_isCallPending = false;
   bool m_isUnreachable = false;
   std::uint64_t m_pendingAcknowledgement = 0; ///< Run end that the pending call acknowledges.
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -123,6 +123,7 @@
   void LogLocalityWaits(const job::PoolOrders& aOrders);
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
+  void OnStartResponse(const job::StartOrder& aOrder, const platform::OrderResponse& aResponse);
   void SendStop(const job::StopOrder& aOrder);
   void RequestAdvice(const job::AdviceRequest& aQuestion);
   void SaveJobs(const std::vector<std::string>& aJobs);
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -161,12 +161,14 @@
     SendStart(order);
   }
   for (const job::ThrottleOrder& order : aOrders.m_throttles) {
-    const auto found = m_scheduler.Minions().find(order.m_minion);
-    if (found != m_scheduler.Minions().end()) {
-      m_context.m_minionClient.Pace(
-        { found->second.m_entry.m_address, order.m_minion, m_claim.m_version },
-        order,
+    const auto session = m_sessions.find(order.m_minion);
+    if (session != m_sessions.end()) {
+      session->second->SendOrder(
         kOrderTimeout,
+        [this, order](const platform::MinionTarget& aTarget,
+                      platform::MinionClient::OrderCallback aDone) {
+          m_context.m_minionClient.Pace(aTarget, order, kOrderTimeout, std::move(aDone));
+        },
         [](platform::OrderResponse) {});
     }
   }
@@ -261,62 +263,63 @@
 void PoolOwner::SendStart(const job::StartOrder& aOrder)
 {
   const auto session = m_sessions.find(aOrder.m_minion);
-  const auto found = m_scheduler.Minions().find(aOrder.m_minion);
-  const TimePoint now = LeaseClockNow();
-  if (session == m_sessions.end() || found == m_scheduler.Minions().end() ||
-      !m_context.m_lease.IsValid()) {
-    m_scheduler.OnStartAnswer(aOrder, job::OrderResult::Rejected, now);
+  if (session == m_sessions.end() || !m_context.m_lease.IsValid()) {
+    m_scheduler.OnStartAnswer(aOrder, job::OrderResult::Rejected, LeaseClockNow());
     return;
   }
-  const std::int64_t until = session->second->LeaseDeadlineMs(now);
-  m_scheduler.OnLeaseGranted(aOrder.m_minion, session->second->Clock().LatestTimeAt(until));
-  Log(LogCategory::Placement,
-      LogLevel::Info,
-      "run-ordered",
-      "unit",
-      aOrder.m_unit,
-      "run",
-      aOrder.m_run,
-      "minion",
-      aOrder.m_minion,
-      "token",
-      m_claim.m_version);
-  m_context.m_minionClient.Start(
-    { found->second.m_entry.m_address, aOrder.m_minion, m_claim.m_version },
-    aOrder,
-    until,
+  session->second->SendOrder(
     kOrderTimeout,
-    [this, aOrder, alive = std::weak_ptr<int>(m_alive)](platform::OrderResponse aResponse) {
-      if (alive.expired()) {
-        return;
-      }
-      if (aResponse.m_result != job::OrderResult::Started) {
-        Log(LogCategory::Placement,
-            LogLevel::Info,
-            "run-not-started",
-            "unit",
-            aOrder.m_unit,
-            "run",
-            aOrder.m_run,
-            "minion",
-            aOrder.m_minion,
-            "reason",
-            ToName(aResponse.m_result));
-      }
-      if (const auto session = m_sessions.find(aOrder.m_minion); session != m_sessions.end()) {
-        session->second->CheckClock(aResponse, aOrder.m_unit, aOrder.m_run);
-      }
-      m_scheduler.OnStartAnswer(aOrder, aResponse.m_result, LeaseClockNow());
-      if (aResponse.m_result != job::OrderResult::Started) {
-        RequestDecision();
-      }
-    });
+    [this, aOrder](const platform::MinionTarget& aTarget,
+                   platform::MinionClient::OrderCallback aDone) {
+      const MinionSession& target = *m_sessions.at(aOrder.m_minion);
+      const std::int64_t until = target.LeaseDeadlineMs(LeaseClockNow());
+      m_scheduler.OnLeaseGranted(aOrder.m_minion, target.Clock().LatestTimeAt(until));
+      Log(LogCategory::Placement,
+          LogLevel::Info,
+          "run-ordered",
+          "unit",
+          aOrder.m_unit,
+          "run",
+          aOrder.m_run,
+          "minion",
+          aOrder.m_minion,
+          "token",
+          aTarget.m_fencingToken);
+      m_context.m_minionClient.Start(aTarget, aOrder, until, kOrderTimeout, std::move(aDone));
+    },
+    [this, aOrder](platform::OrderResponse aResponse) { OnStartResponse(aOrder, aResponse); });
+}
+
+void PoolOwner::OnStartResponse(const job::StartOrder& aOrder,
+                                const platform::OrderResponse& aResponse)
+{
+  if (const auto session = m_sessions.find(aOrder.m_minion); session != m_sessions.end()) {
+    session->second->CheckClock(aResponse, aOrder.m_unit, aOrder.m_run);
+  }
+  const bool hasStarted = aResponse.m_result == job::OrderResult::Started;
+  if (!hasStarted) {
+    Log(LogCategory::Placement,
+        LogLevel::Info,
+        "run-not-started",
+        "unit",
+        aOrder.m_unit,
+        "run",
+        aOrder.m_run,
+        "minion",
+        aOrder.m_minion,
+        "reason",
+        ToName(aResponse.m_result));
+  }
+  m_scheduler.OnStartAnswer(aOrder, aResponse.m_result, LeaseClockNow());
+  if (!hasStarted) {
+    RequestDecision();
+  }
 }
 
 void PoolOwner::SendStop(const job::StopOrder& aOrder)
 {
-  const auto found = m_scheduler.Minions().find(aOrder.m_minion);
-  if (found == m_scheduler.Minions().end()) {
+  const auto session = m_sessions.find(aOrder.m_minion);
+  if (session == m_sessions.end()) {
     return;
   }
   if (!aOrder.m_isRepeated) {
@@ -332,14 +335,14 @@
         "reason",
         ToName(aOrder.m_reason));
   }
-  m_context.m_minionClient.Stop(
-    { found->second.m_entry.m_address, aOrder.m_minion, m_claim.m_version },
-    aOrder,
+  session->second->SendOrder(
     kOrderTimeout,
-    [this, aOrder, alive = std::weak_ptr<int>(m_alive)](platform::OrderResponse aResponse) {
-      if (!alive.expired()) {
-        m_scheduler.OnStopAnswer(aOrder, aResponse.m_result, LeaseClockNow());
-      }
+    [this, aOrder](const platform::MinionTarget& aTarget,
+                   platform::MinionClient::OrderCallback aDone) {
+      m_context.m_minionClient.Stop(aTarget, aOrder, kOrderTimeout, std::move(aDone));
+    },
+    [this, aOrder](platform::OrderResponse aResponse) {
+      m_scheduler.OnStopAnswer(aOrder, aResponse.m_result, LeaseClockNow());
     });
 }
 
--- a/tests/platform/OddListTest.cpp
+++ b/tests/platform/OddListTest.cpp
@@ -258,13 +258,11 @@
       FixedServer server(200, text);
       MinionClient client(server.m_http, {});
       bool isDone = false;
-      client.Hold({ server.Address().Text(), "i", 1 },
-                  {},
-                  kTimeout,
-                  [&](const Result<HoldResponse>& aReport) {
-                    isDone = true;
-                    CHECK_FALSE(aReport);
-                  });
+      client.Hold(
+        { server.Address().Text(), "i", 1 }, {}, kTimeout, [&](const HoldResult& aReport) {
+          isDone = true;
+          CHECK_FALSE(aReport);
+        });
       server.Await(isDone);
     }
   }
