Job: wait for the run of an unanswered start, not only for the order

A start without an answer was forgotten 15 s after it was sent. Within that time a later incarnation under the same ID may carry it out, and the run then lives for the longest lease that minions grant, because the time in the order is one on another clock. So the unit of a lost minion could be started elsewhere beside that run.

The order now counts until its delay and that lease have passed, or until a list of runs from after the delay lacks the run.

The case of LateOrderTest that ended its wait at 15 s expects no start then, and one after the lease.

--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -242,12 +242,26 @@
   }
 }
 
+bool PoolScheduler::MayHaveEffect(const OpenStart& aStart,
+                                  const MinionState& aMinion,
+                                  TimePoint aNow) const
+{
+  const TimePoint latestStart = aStart.m_orderedAt + kMaxOrderDelay;
+  if (aNow <= latestStart) {
+    return true;
+  }
+  // A later incarnation that carries the order out grants the longest lease: the time in the order
+  // is one on another clock. A later list of runs has the run if it has begun.
+  const Millis longestRun = Scaled(m_policy.m_maxGrantedLease, kClockSlowdown);
+  return aMinion.m_lastAnswerAt <= latestStart && aNow <= latestStart + longestRun;
+}
+
 void PoolScheduler::ExpireLeases(TimePoint aNow)
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
     std::erase_if(minion.m_openStarts, [&](const auto& aStart) {
-      return aNow - aStart.second.m_orderedAt > kMaxOrderDelay;
+      return !MayHaveEffect(aStart.second, minion, aNow);
     });
     if (IsLost(minion, aNow)) {
       if (!minion.IsLeaving() && !minion.m_areLossesCounted) {
--- a/tests/job/LateOrderTest.cpp
+++ b/tests/job/LateOrderTest.cpp
@@ -122,10 +122,13 @@
     Revoke(kRestartedAtMs);
     CHECK(Decide().m_starts.size() == 1);
   }
-  SUBCASE("it stays away for longer than an order can be delayed")
+  SUBCASE("it stays away for longer than an order can be delayed, and its run can last")
   {
     Advance(Millis(15'000));
     Report("b", {}, {});
+    CHECK(Decide().m_starts.empty());
+    Advance(PoolPolicy{}.m_maxGrantedLease);
+    Report("b", {}, {});
     CHECK(Decide().m_starts.size() == 1);
   }
   SUBCASE("its machine comes back as another minion")
