Tests: restarts of a minion that its owner does not see

The first version of the two cases of MinionRestartTest closed the connections with a reset.

Now calls to the former incarnation get no answer, or the connection ends between two calls.

--- a/tests/node/MinionRestartTest.cpp
+++ b/tests/node/MinionRestartTest.cpp
@@ -14,7 +14,8 @@
   PoolOwnerFixture fixture;
   fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
   REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
-  fixture.RestartMinion();
+  fixture.m_io.run_for(Millis(50)); // The next call is pending.
+  fixture.RestartMinionSilently();
   fixture.m_owner->Submit(job::MakeJob(kJob, 1, 100), [](SubmitResult) {});
   fixture.m_io.run_for(Millis(300));
   fixture.m_owner->OnMinionEntry(fixture.MinionEntry()); // With the start time of the next one.
@@ -29,12 +30,30 @@
   fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
   REQUIRE(fixture.RunUntil([&] { return fixture.IsUsable(); }));
   for (int restart = 0; restart < 5; ++restart) {
-    // Between two calls the owner does not see that the connections have ended.
     const int calls = fixture.m_minionCalls;
     REQUIRE(fixture.RunUntil([&] { return fixture.m_minionCalls > calls; }));
+    // Between two calls: the connection ends while it is idle, and the next call opens another one.
     fixture.m_io.run_for(PoolOwnerFixture::kAnswerDelay + Millis(5));
-    fixture.RestartMinion();
+    fixture.RestartMinionSilently();
+    fixture.m_minionServer.CloseConnections(false);
     fixture.m_io.run_for(Millis(300));
   }
   CHECK(fixture.m_extensionsAtUnlisted == 0);
 }
+
+// Guards against run ends that are lost: those of the former incarnation had higher numbers.
+TEST_CASE("an acknowledgement to a former incarnation does not count for the next one")
+{
+  PoolOwnerFixture fixture;
+  fixture.m_owner->OnMinionEntry(fixture.MinionEntry());
+  fixture.m_endedUnits = 3;
+  const auto minion = [&] { return fixture.m_owner->Scheduler().Minions().at(kMinion); };
+  REQUIRE(fixture.RunUntil([&] { return minion().m_lastAcknowledgedEnd == 3; }));
+  fixture.m_io.run_for(Millis(50)); // The next call is pending.
+  fixture.m_endedUnits = 0;
+  fixture.m_listedEnds.clear();
+  fixture.RestartMinionSilently();
+  fixture.m_owner->Submit(job::MakeJob("fedcba9876543210", 1, 100), [](SubmitResult) {});
+  REQUIRE(fixture.RunUntil([&] { return minion().m_reportedStartMs == fixture.m_born; }));
+  CHECK(minion().m_lastAcknowledgedEnd == 0);
+}
--- a/tests/node/PoolOwnerFixture.h
+++ b/tests/node/PoolOwnerFixture.h
@@ -118,12 +118,12 @@
     }
   }
 
-  /// Ends the connections to the minion, which is back at once under its ID and knows nothing.
-  void RestartMinion()
+  /// The minion is back at once under its ID and knows nothing. Calls to the former incarnation get
+  /// no answer; its owner does not see that their connections have ended.
+  void RestartMinionSilently()
   {
     ++m_born;
     m_answerTimers.clear();
-    m_minionServer.CloseConnections(true);
   }
 
   void CountOrder(const HttpRequest& aRequest)
