Node: keep what is meant for a former incarnation from the next one

When a connection finds another incarnation: - orders that wait for a connection were sent to the new incarnation with the former one's decisions; they now end as not sent, and calls that libcurl has not sent yet keep a set of connections that stays empty; - the cancelled extension was forgotten, so the longest lease was not assumed at the new incarnation; - the acknowledged run end of the former numbering was credited to the new one; - a late answer of the former incarnation could replace the new one. A start without an answer that is listed more than 1 s after its order may be run by a later incarnation under the longest lease, which is now assumed.

Orders leave one known connection free for the extension of leases, and orders on forgotten connections do not count. An order that found no connection in time no longer makes its minion unusable; a connection that gets no answer does, until the next list.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -458,9 +458,7 @@
   void LapseCordons(TimePoint aNow);
   void ResendStops(TimePoint aNow);
   /// Whether the minion may still carry the order out, or run what it has started.
-  bool MayHaveEffect(const OpenStart& aStart,
-                     const MinionState& aMinion,
-                     TimePoint aNow) const;
+  bool MayHaveEffect(const OpenStart& aStart, const MinionState& aMinion, TimePoint aNow) const;
   /// Sends the stops of dropped runs whose start orders the minion may still carry out.
   void RevokeOpenStarts(MinionState& aMinion, TimePoint aNow);
 
--- a/src/job/PoolSchedulerMinions.cpp
+++ b/src/job/PoolSchedulerMinions.cpp
@@ -260,9 +260,8 @@
 {
   for (auto entry = m_minions.begin(); entry != m_minions.end();) {
     MinionState& minion = entry->second;
-    std::erase_if(minion.m_openStarts, [&](const auto& aStart) {
-      return !MayHaveEffect(aStart.second, minion, aNow);
-    });
+    std::erase_if(minion.m_openStarts,
+                  [&](const auto& aStart) { return !MayHaveEffect(aStart.second, minion, aNow); });
     if (IsLost(minion, aNow)) {
       if (!minion.IsLeaving() && !minion.m_areLossesCounted) {
         m_crashHistory.OnRunsLost(minion.m_entry, SuspectsOn(minion), aNow);
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -14,6 +14,10 @@
 constexpr Millis kRefusalPause{ 250 };
 /// Time after which an unanswered stop order is repeated.
 constexpr Millis kStopResendDelay{ 400 };
+/// Longest time from a decision to the answer to its order: for a connection, and for the order.
+constexpr Millis kMaxAnswerTime{ 1'000 };
+/// Of a minion's clock, with a margin.
+constexpr double kClockSlowdown = 1.03;
 
 } // namespace
 
@@ -49,10 +53,7 @@
       return;
     case OrderResult::NoCapacity:
     case OrderResult::Late:
-      minion.m_pausedUntil = aNow + kRefusalPause;
-      break;
     case OrderResult::NotSent:
-      ++minion.m_missedCalls;
       minion.m_pausedUntil = aNow + kRefusalPause;
       break;
     case OrderResult::NoTicket:
@@ -276,7 +277,15 @@
   std::set<std::string_view> listed;
   for (const ListedRun& row : aReport.m_running) {
     listed.insert(row.m_unit);
-    aMinion.m_openStarts.erase({ row.m_unit, row.m_run });
+    if (const auto open = aMinion.m_openStarts.find({ row.m_unit, row.m_run });
+        open != aMinion.m_openStarts.end()) {
+      if (aNow - open->second.m_orderedAt > kMaxAnswerTime) {
+        // Another incarnation than the one that the order was meant for may have carried it out.
+        aMinion.m_leaseEnd =
+          std::max(aMinion.m_leaseEnd, aNow + Scaled(m_policy.m_maxGrantedLease, kClockSlowdown));
+      }
+      aMinion.m_openStarts.erase(open);
+    }
     const auto id = UnitId::Parse(row.m_unit);
     if (!id) {
       continue;
--- a/src/node/MinionChannel.cpp
+++ b/src/node/MinionChannel.cpp
@@ -19,21 +19,32 @@
 void MinionChannel::Send(ChannelOrder aOrder)
 {
   m_waiting.push_back(std::move(aOrder));
-  SendWaiting(FreeConnections());
+  SendWaiting(ConnectionsForOrders());
 }
 
-void MinionChannel::OnListed(std::uint64_t aConnection)
+void MinionChannel::OnListed(std::uint64_t aConnection, bool aIsFree)
 {
   m_isConnecting = false;
   m_known->Add(aConnection);
-  // The connection is idle now, whatever the count of the others.
-  SendWaiting(std::max<std::size_t>(FreeConnections(), 1));
+  SendWaiting(std::max<std::size_t>(ConnectionsForOrders(), aIsFree ? 1 : 0));
 }
 
 void MinionChannel::OnRestarted()
 {
+  // Calls that libcurl has not sent yet keep the former set, which gets no connection any more.
   m_known->Clear();
+  m_known = std::make_shared<ConnectionSet>();
+  m_open = 0;
+  ++m_clears;
   ++m_restarts;
+  EndWaiting();
+}
+
+void MinionChannel::OnLacksConnection()
+{
+  m_known->Clear();
+  m_open = 0;
+  ++m_clears;
 }
 
 void MinionChannel::OnConnectFailed()
@@ -42,9 +53,9 @@
   EndWaiting();
 }
 
-std::size_t MinionChannel::FreeConnections() const
+std::size_t MinionChannel::ConnectionsForOrders() const
 {
-  const std::size_t used = m_open + (m_isHeld ? 1 : 0);
+  const std::size_t used = m_open + 1;
   const std::size_t known = m_known->Size();
   return known > used ? known - used : 0;
 }
@@ -76,24 +87,31 @@
   ++m_open;
   const auto send = order.m_send;
   send(m_known,
-       [this, order = std::move(order), restarts = m_restarts, alive = std::weak_ptr<int>(m_alive)](
-         platform::OrderResponse aResponse) mutable {
+       [this,
+        order = std::move(order),
+        restarts = m_restarts,
+        clears = m_clears,
+        alive = std::weak_ptr<int>(m_alive)](platform::OrderResponse aResponse) mutable {
          if (alive.expired()) {
            return;
          }
-         --m_open;
+         m_open -= clears == m_clears ? 1 : 0;
          if (aResponse.m_connection != 0 && restarts == m_restarts) {
            m_known->Add(aResponse.m_connection);
          }
          if (aResponse.m_lacksConnection) {
-           OnLacksConnection();
-           m_waiting.push_front(std::move(order));
-           Connect();
-           return;
+           if (clears == m_clears) {
+             OnLacksConnection();
+           }
+           if (restarts == m_restarts) {
+             m_waiting.push_front(std::move(order));
+             Connect();
+             return;
+           }
          }
          order.m_done(aResponse);
          if (!alive.expired()) {
-           SendWaiting(FreeConnections());
+           SendWaiting(ConnectionsForOrders());
          }
        });
 }
--- a/src/node/MinionChannel.h
+++ b/src/node/MinionChannel.h
@@ -47,20 +47,21 @@
   void Send(ChannelOrder aOrder);
   /// Those on which the known incarnation has listed its runs.
   Connections Known() const { return m_known; }
-  bool HasFreeConnection() const { return FreeConnections() > 0; }
-  /// Called when the known incarnation has listed its runs on a connection.
-  void OnListed(std::uint64_t aConnection);
+  /// Whether there is one for a call that extends leases; orders leave one of them free for it.
+  bool HasFreeConnection() const { return m_known->Size() > m_open; }
+  /// Called when the known incarnation has listed its runs on a connection. aIsFree: the connection
+  /// was opened for orders.
+  void OnListed(std::uint64_t aConnection, bool aIsFree);
   /// Called when the minion has not answered. Orders that wait are not sent.
   void OnConnectFailed();
-  /// Called when the minion's incarnation is another one than the known one.
+  /// Called when the minion's incarnation is another one than the known one. Orders that wait were
+  /// meant for the former one and are not sent.
   void OnRestarted();
   /// Called when no known connection was free although one should have been.
-  void OnLacksConnection() { m_known->Clear(); }
-  /// aIsHeld: whether the minion keeps one of the known connections for a call that waits.
-  void SetHeld(bool aIsHeld) { m_isHeld = aIsHeld; }
+  void OnLacksConnection();
 
 private:
-  std::size_t FreeConnections() const;
+  std::size_t ConnectionsForOrders() const;
   void SendWaiting(std::size_t aMost);
   void SendNext();
   void EndWaiting();
@@ -69,9 +70,9 @@
   std::function<void()> m_connect;
   std::shared_ptr<ConnectionSet> m_known = std::make_shared<ConnectionSet>();
   std::deque<ChannelOrder> m_waiting;
-  std::size_t m_open = 0;     ///< Orders that have been sent and have no answer.
+  std::size_t m_open = 0;     ///< Orders without an answer on known connections.
   std::size_t m_restarts = 0; ///< Of the minion, that this node has seen.
-  bool m_isHeld = false;
+  std::size_t m_clears = 0;   ///< How often the known connections were forgotten.
   bool m_isConnecting = false;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/src/node/MinionSession.cpp
+++ b/src/node/MinionSession.cpp
@@ -28,7 +28,7 @@
 /// Between calls that return at once, to batch run ends.
 constexpr Millis kBatchInterval{ 15 };
 constexpr Millis kRetryDelay{ 150 };
-/// The clock in an answer may differ by this from its estimate: time for the way, and a clock that
+/// The clock in an answer may differ by this from its estimate: network delay, and a clock that
 /// runs 2% slow between two lists of runs.
 constexpr Millis kClockTolerance{ 500 };
 
@@ -88,7 +88,7 @@
       aResponse.m_clockMs,
       "expected-ms",
       expectedMs,
-      "born",
+      "known-start-ms",
       m_knownStartMs,
       "connection",
       aResponse.m_connection,
@@ -151,7 +151,7 @@
   }
   m_isCallPending = true;
   m_pendingAcknowledgement = request.m_acknowledgedEnd;
-  m_channel.SetHeld(isBound);
+  m_pendingCallSentAt = now;
   m_pendingCall = m_owner.m_context.m_minionClient.Hold(
     Target(minion.m_entry, isBound ? m_channel.Known() : nullptr),
     request,
@@ -220,18 +220,26 @@
 void MinionSession::OnConnected(platform::HoldResult aResult, TimePoint aAskedAt)
 {
   if (!aResult) {
+    // The minion gets no work before it answers.
+    m_owner.m_scheduler.OnContactInterrupted(m_minion);
     m_channel.OnConnectFailed();
     return;
   }
   if (aResult.value().m_report.m_startedAtMs == m_knownStartMs) {
     // The pending call reports the runs: two reports could be processed in the wrong order.
-    m_channel.OnListed(aResult.value().m_connection);
+    m_channel.OnListed(aResult.value().m_connection, true);
+    return;
+  }
+  if (aAskedAt < m_knownSince) {
+    m_channel.OnConnectFailed(); // A late answer of a former incarnation.
     return;
   }
   if (m_isCallPending) {
-    // It was meant for the former incarnation, which cannot answer any more.
+    // The former incarnation cannot answer any more. Its call counts as one without an answer.
     m_owner.m_context.m_minionClient.CancelHold(m_pendingCall);
+    m_owner.m_scheduler.OnLeaseExtensionFailed(m_minion, m_pendingCallSentAt);
   }
+  m_pendingAcknowledgement = 0; // Run ends of the former incarnation.
   m_nextCallTimer.Cancel();
   OnHoldReport(std::move(aResult), aAskedAt);
 }
@@ -263,7 +271,6 @@
 {
   const WorkMeter::Scope scope(m_owner.m_context.m_work, WorkPart::MinionReport);
   m_isCallPending = false;
-  m_channel.SetHeld(false);
   const TimePoint now = LeaseClockNow();
   if (!aResult && aResult.error().m_lacksConnection) {
     m_channel.OnLacksConnection();
@@ -301,6 +308,7 @@
   }
   if (report.m_startedAtMs != m_knownStartMs) {
     m_knownStartMs = report.m_startedAtMs;
+    m_knownSince = aAskedAt;
     m_savedEndNumber = 0;
     m_channel.OnRestarted();
   }
@@ -309,7 +317,7 @@
   m_clock.Update(report.m_clockMs, now);
   m_owner.m_scheduler.OnLeaseReport(m_minion, report, aAskedAt, now);
   m_owner.m_scheduler.OnEndsAcknowledged(m_minion, m_pendingAcknowledgement);
-  m_channel.OnListed(aResult.value().m_connection);
+  m_channel.OnListed(aResult.value().m_connection, false);
   m_owner.RecordMinion(m_minion);
   m_owner.SaveUnsavedJobs();
   m_owner.RequestDecision();
--- a/src/node/MinionSession.h
+++ b/src/node/MinionSession.h
@@ -86,6 +86,8 @@
   std::int64_t m_knownStartMs = 0;
   MinionChannel m_channel;
   HttpClient::CallId m_pendingCall = 0;
+  TimePoint m_pendingCallSentAt{};
+  TimePoint m_knownSince{}; ///< When the first call that the known incarnation answered was sent.
   bool m_isCallPending = false;
   bool m_isUnreachable = false;
   std::uint64_t m_pendingAcknowledgement = 0; ///< Run end that the pending call acknowledges.
