Soak: minions that are cut off soon after a restart under their IDs

A minion's clock now starts anywhere in 10 minutes, and its longest lease is 10 s. A crash may be silent: the former connections stay open without responses and are reset at the return or on arrival, they never reach the next incarnation, and attempts to connect succeed at the return. A cut ends requests, responses and heartbeats, not runs. In this mode some jobs have units of 5 to 12 s, since shorter ones end before a second run can start, and fewer jobs arrive, since under full load no start reached a minion between its return and the cut. The check of long-running units waits until the last cut has ended.

--- a/standin/StandinServer.cpp
+++ b/standin/StandinServer.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <deque>
+#include <iterator>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -164,6 +165,8 @@
       });
   }
 
+  bool IsAwaitingResponse() const { return m_isAwaitingResponse; }
+
 private:
   void Parse(std::size_t aBytes)
   {
@@ -406,6 +409,18 @@
   }
 }
 
+void StandinServer::CloseIdleConnections(bool aReset)
+{
+  std::vector<Connection*> idle;
+  std::copy_if(m_shared->m_openConnections.begin(),
+               m_shared->m_openConnections.end(),
+               std::back_inserter(idle),
+               [](const Connection* aConnection) { return !aConnection->IsAwaitingResponse(); });
+  for (Connection* connection : idle) {
+    connection->Disconnect(aReset);
+  }
+}
+
 const StandinTraffic& StandinServer::Traffic() const
 {
   return m_shared->m_traffic;
--- a/standin/StandinServer.h
+++ b/standin/StandinServer.h
@@ -66,6 +66,8 @@
   std::uint16_t Port() const;
   /// Closes every connection, with a reset when aReset is set.
   void CloseConnections(bool aReset);
+  /// Closes the connections that do not await a response, with a reset when aReset is set.
+  void CloseIdleConnections(bool aReset);
   const StandinTraffic& Traffic() const;
 
 private:
--- a/tests/soak/CallerSimulator.cpp
+++ b/tests/soak/CallerSimulator.cpp
@@ -15,6 +15,12 @@
 constexpr Micros kRetryDelay{ 700'000 };
 constexpr int kMaxSubmitAttempts = 6;
 constexpr int kJobsPerLongRunningJob = 30;
+/// Of each ten jobs.
+constexpr int kSlowJobsPerTen = 4;
+constexpr int kSlowUnitCpu = 200;
+constexpr int kMaxSlowUnits = 6;
+constexpr int kMinSlowRunMs = 5'000;
+constexpr int kMaxSlowRunMs = 12'000;
 constexpr int kJobsPerEndingLongRunningJob = 15;
 constexpr int kJobsPerCancelledJob = 12;
 constexpr int kJobsPerDeadlyJob = 40;
@@ -116,17 +122,22 @@
     number % kJobsPerLongRunningJob == 1 ||
     (m_options.m_variesDemand && number % kJobsPerEndingLongRunningJob == 1);
   const bool isDeadly = m_options.m_submitsDeadlyJobs && number % kJobsPerDeadlyJob == 11;
-  const int cpu = Draw(1, 6) * 500;
-  const int runMs = isLongRunning ? 0 : Draw(50, 700);
-  const int failures = number % kJobsPerFailingJob == 7 ? int(kMaxAttempts)
-                       : Draw(0, 9) == 0                ? 1
-                                                        : 0;
+  const bool isSlow =
+    m_options.m_submitsSlowJobs && !isLongRunning && number % 10 < kSlowJobsPerTen;
+  const int cpu = isSlow ? kSlowUnitCpu : Draw(1, 6) * 500;
+  const int runMs = isLongRunning ? 0 : isSlow ? Draw(kMinSlowRunMs, kMaxSlowRunMs) : Draw(50, 700);
+  // Repeated slow runs would last longer than the calm phase.
+  const int failures = isSlow                             ? 0
+                       : number % kJobsPerFailingJob == 7 ? int(kMaxAttempts)
+                       : Draw(0, 9) == 0                  ? 1
+                                                          : 0;
   Json steps = Json::array();
-  const int count = isLongRunning ? 1 : Draw(1, 3);
+  const int count = isLongRunning || isSlow ? 1 : Draw(1, 3);
   for (int step = 0; step < count; ++step) {
-    Json item{
-      { "count", Draw(1, 4) }, { "cpu", cpu }, { "mem_mb", 64 }, { "estimate_ms", runMs }
-    };
+    Json item{ { "count", Draw(1, isSlow ? kMaxSlowUnits : 4) },
+               { "cpu", cpu },
+               { "mem_mb", 64 },
+               { "estimate_ms", runMs } };
     if (step > 0) {
       item["after"] = { step - 1 };
     }
--- a/tests/soak/CallerSimulator.h
+++ b/tests/soak/CallerSimulator.h
@@ -19,6 +19,7 @@
 struct CallerOptions
 {
   bool m_submitsDeadlyJobs = false;
+  bool m_submitsSlowJobs = false; ///< Some jobs have units that run for many seconds.
   /// The demand moves from queue to queue with lulls between, and long-running units end from time
   /// to time.
   bool m_variesDemand = false;
--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/MachineStandin.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -12,11 +13,11 @@
 
 constexpr double kClockRate = 0.98; ///< The lowest rate that a minion's clock may have.
 constexpr Millis kTickPeriod{ 10 };
-constexpr Millis kHeartbeatPeriod{ 1'000 };
+/// A minion's clock starts anywhere in this range.
+constexpr std::int64_t kMinClockStartMs = 1'000;
+constexpr std::int64_t kMaxClockStartMs = 600'000;
 /// The registration of a minion that crashed stays in the store for this time.
 constexpr Millis kRegistrationExpiry{ 3'000 };
-/// Time for which a capacity that has shrunk still counts.
-constexpr Millis kCapacityGrace = kContactTime + kHeartbeatPeriod;
 constexpr Millis kDeadlyUnitDelay{ 100 };
 constexpr Millis kDeadlyUnitOutage{ 2'000 };
 constexpr Millis kStopDuration{ 60 };
@@ -35,11 +36,13 @@
 MachineStandin::MachineStandin(asio::io_context& aContext,
                                TimerService& aTimers,
                                RowStoreStandin& aStore,
-                               GuaranteeChecker& aChecker)
+                               GuaranteeChecker& aChecker,
+                               std::uint64_t aSeed)
   : m_context(aContext)
   , m_timers(aTimers)
   , m_store(aStore)
   , m_checker(aChecker)
+  , m_random(aSeed)
   , m_cloudApiServer(aContext,
                      "127.0.0.1",
                      0,
@@ -64,10 +67,7 @@
   Machine& added = *machine;
   added.m_name = aName;
   added.m_pool = aPool;
-  added.m_server = std::make_unique<StandinServer>(
-    m_context, "127.0.0.1", 0, [this, &added](const std::shared_ptr<StandinExchange>& aExchange) {
-      HandleMinionRequest(added, aExchange);
-    });
+  ReplaceServer(added, 0);
   m_machines.emplace(aName, std::move(machine));
   if (aIsSpare) {
     m_sparePool = aPool;
@@ -101,12 +101,17 @@
   incarnation.m_startTimeMs =
     std::chrono::duration_cast<Millis>(timeOfDay.time_since_epoch()).count();
   incarnation.m_startedAt = Now();
+  incarnation.m_clockStartMs =
+    std::uniform_int_distribution<std::int64_t>(kMinClockStartMs, kMaxClockStartMs)(m_random);
   incarnation.m_cpu = aMachine.m_cpu;
   static_cast<void>(aMachine.m_server->Listen());
   // A minion that is back under its ID registers with its next heartbeat.
   if (aId.empty()) {
     RegisterMinion(aMachine);
   }
+  for (const auto& exchange : std::exchange(aMachine.m_heldExchanges, {})) {
+    HandleMinionRequest(aMachine, exchange);
+  }
 }
 
 void MachineStandin::EndIncarnation(Machine& aMachine)
@@ -114,8 +119,12 @@
   if (!aMachine.m_incarnation) {
     return;
   }
-  aMachine.m_server->StopListening();
-  aMachine.m_server->CloseConnections(true);
+  if (IsCut(aMachine)) {
+    AbandonConnections(aMachine);
+  } else {
+    aMachine.m_server->StopListening();
+    aMachine.m_server->CloseConnections(true);
+  }
   aMachine.m_pendingLeaseReports.clear();
   for (const auto& [name, run] : aMachine.m_incarnation->m_runs) {
     m_checker.OnRunEnded(run.m_unit, job::RunOutcome::LeaseExpired, IncarnationName(aMachine));
@@ -136,7 +145,8 @@
 void MachineStandin::ExpireRegistration(const std::string& aId)
 {
   const bool isUp = std::any_of(m_machines.begin(), m_machines.end(), [&](const auto& aEntry) {
-    return aEntry.second->m_incarnation && aEntry.second->m_incarnation->m_id == aId;
+    return aEntry.second->m_incarnation && aEntry.second->m_incarnation->m_id == aId &&
+           !IsCut(*aEntry.second);
   });
   if (!isUp) {
     m_store.Remove("servers", aId);
@@ -151,6 +161,9 @@
 
 void MachineStandin::RegisterMinion(const Machine& aMachine)
 {
+  if (IsCut(aMachine)) {
+    return;
+  }
   const Incarnation& incarnation = *aMachine.m_incarnation;
   const Json entry{ { "service", aMachine.m_pool },
                     { "address", fmt::format("127.0.0.1:{}", aMachine.m_server->Port()) },
@@ -158,7 +171,7 @@
                     { "version", "1" },
                     { "slots", 8 },
                     { "state", "ready" },
-                    { "seq", ClockMs(incarnation) },
+                    { "seq", ClockMs(incarnation) - incarnation.m_clockStartMs },
                     { "capacity",
                       { { "cpu", incarnation.m_cpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
                     { "labels", { "a", "rack-1" } },
@@ -173,33 +186,6 @@
     aDelay, [this, &aMachine, id = std::move(aId)] { StartIncarnation(aMachine, id); });
 }
 
-void MachineStandin::Crash(const std::string& aName, Millis aDuration, bool aKeepsId)
-{
-  Machine& machine = *m_machines.at(aName);
-  if (!machine.m_incarnation) {
-    return;
-  }
-  const std::string id = machine.m_incarnation->m_id;
-  for (const auto& [name, run] : machine.m_incarnation->m_runs) {
-    m_checker.OnMinionCrashed(run.m_unit);
-  }
-  EndIncarnation(machine);
-  ExpireRegistrationLater(id);
-  machine.m_state = "down";
-  ReturnAfter(machine, aDuration, aKeepsId ? id : std::string{});
-}
-
-void MachineStandin::SetCapacity(const std::string& aName, std::int64_t aCpu)
-{
-  Machine& machine = *m_machines.at(aName);
-  machine.m_cpu = aCpu;
-  if (machine.m_incarnation) {
-    machine.m_incarnation->m_formerCapacities.push_back(
-      { Now() + kCapacityGrace, machine.m_incarnation->m_cpu });
-    machine.m_incarnation->m_cpu = aCpu;
-  }
-}
-
 std::int64_t MachineStandin::UsedCpu(const Incarnation& aIncarnation)
 {
   std::int64_t used = 0;
@@ -230,15 +216,11 @@
   return machines;
 }
 
-void MachineStandin::Hang(const std::string& aName, Millis aDuration)
-{
-  m_machines.at(aName)->m_hangsUntil = Now() + aDuration;
-}
-
 std::int64_t MachineStandin::ClockMs(const Incarnation& aIncarnation)
 {
   const auto elapsed = std::chrono::duration_cast<Millis>(Now() - aIncarnation.m_startedAt);
-  return 1'000 + static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kClockRate);
+  return aIncarnation.m_clockStartMs +
+         static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * kClockRate);
 }
 
 std::string MachineStandin::IncarnationName(const Machine& aMachine)
@@ -273,7 +255,7 @@
     for (const auto& [unit, outcome] : endedRuns) {
       EndRun(*machine, unit, outcome);
     }
-    if (!endedRuns.empty() && now >= machine->m_hangsUntil) {
+    if (!endedRuns.empty() && IsResponsive(*machine)) {
       for (const PendingLeaseReport& pendingReport : machine->m_pendingLeaseReports) {
         pendingReport.m_exchange->SendResponse(MakeLeaseReport(*machine));
       }
@@ -298,6 +280,13 @@
 void MachineStandin::HandleMinionRequest(Machine& aMachine,
                                          const std::shared_ptr<StandinExchange>& aExchange)
 {
+  if (IsCut(aMachine)) {
+    return; // The connection stays open without a response.
+  }
+  if (!aMachine.m_incarnation) {
+    aMachine.m_heldExchanges.push_back(aExchange);
+    return;
+  }
   if (Now() < aMachine.m_hangsUntil) {
     aMachine.m_pendingLeaseReports.push_back(
       { aExchange, {} }); // The connection stays open without a response.
@@ -460,7 +449,7 @@
   entry->m_timeout = m_timers.After(aWait, [this, &aMachine, entry] {
     const auto exchange = entry->m_exchange;
     aMachine.m_pendingLeaseReports.erase(entry);
-    if (aMachine.m_incarnation && Now() >= aMachine.m_hangsUntil) {
+    if (aMachine.m_incarnation && IsResponsive(aMachine)) {
       exchange->SendResponse(MakeLeaseReport(aMachine));
     }
   });
--- a/tests/soak/MachineStandin.h
+++ b/tests/soak/MachineStandin.h
@@ -19,21 +19,32 @@
 namespace mustardtray::soak {
 
 // Limits and durations of the stand-in. The settings of the nodes repeat them.
-inline constexpr Millis kMaxRunLease{ 4'000 };
+inline constexpr Millis kMaxRunLease{ 10'000 };
 inline constexpr Millis kMoveDuration{ 500 };
 inline constexpr Millis kMaintenanceDuration{ 700 };
 inline constexpr Millis kMachineOrderLease{ 1'000 };
+inline constexpr Millis kHeartbeatPeriod{ 1'000 };
 /// Calm time after which a machine or the store counts as undisturbed.
 inline constexpr Millis kContactTime{ 4'000 };
 inline constexpr std::int64_t kMachineCpu = 8'000;
 
+/// When the connections of an incarnation that crashed silently are reset. On arrival: when
+/// something arrives on them after the return of the machine.
+enum class FormerConnections
+{
+  ResetOnArrival,
+  ResetIdleOnReturn, ///< Those that await a response on arrival.
+  ResetOnReturn,
+};
+
 class MachineStandin
 {
 public:
   MachineStandin(asio::io_context& aContext,
                  TimerService& aTimers,
                  RowStoreStandin& aStore,
-                 GuaranteeChecker& aChecker);
+                 GuaranteeChecker& aChecker,
+                 std::uint64_t aSeed);
 
   void AddMachine(const std::string& aName, const std::string& aPool, bool aIsSpare);
   std::uint16_t CloudApiPort() const { return m_cloudApiServer.Port(); }
@@ -51,6 +62,14 @@
   /// Ends the minion at once. The machine starts a new incarnation after aDuration, with the same
   /// minion ID when aKeepsId is set.
   void Crash(const std::string& aName, Millis aDuration, bool aKeepsId);
+  /// Like Crash under the same ID, but the peers of the open connections get no sign of it before
+  /// the machine is back. Attempts to connect succeed when it is back.
+  void CrashSilently(const std::string& aName, Millis aDuration, FormerConnections aConnections);
+  /// The minion receives and sends nothing for aDuration, heartbeats neither. Its work units
+  /// continue to run.
+  void Cut(const std::string& aName, Millis aDuration);
+  /// Machines of the pool that are up and not cut off.
+  std::vector<std::string> ReachableMachines(const std::string& aPool) const;
   /// The minion does not respond for aDuration. Its work units continue to run.
   void Hang(const std::string& aName, Millis aDuration);
   /// Requests to minions get these faults.
@@ -96,6 +115,7 @@
     std::string m_id;
     std::int64_t m_startTimeMs = 0;
     TimePoint m_startedAt{};
+    std::int64_t m_clockStartMs = 0; ///< Of the minion's clock, at m_startedAt.
     std::int64_t m_cpu = 0;
     std::vector<FormerCapacity> m_formerCapacities;
     std::map<std::string, Run> m_runs;
@@ -120,9 +140,15 @@
     std::uint64_t m_wave = 0;         ///< Of the current or latest maintenance.
     std::int64_t m_cpu = kMachineCpu; ///< Capacity of its current and its next incarnation.
     std::unique_ptr<StandinServer> m_server;
+    std::uint64_t m_serverNumber = 0;
+    std::list<std::unique_ptr<StandinServer>>
+      m_formerServers; ///< With connections of incarnations that crashed silently.
+    std::vector<std::shared_ptr<StandinExchange>>
+      m_heldExchanges; ///< Requests that reach the machine when it is back.
     std::unique_ptr<Incarnation>
       m_incarnation; ///< Null while the machine is unavailable or in the spare pool.
     TimePoint m_hangsUntil{};
+    TimePoint m_cutUntil{};
     Millis m_clockStep{ 0 };
     std::size_t m_lateStartCount = 0;
     std::list<PendingLeaseReport> m_pendingLeaseReports;
@@ -133,6 +159,11 @@
     TimePoint m_orderedAt{};
   };
 
+  /// Makes a server whose connections belong to the machine's present or next incarnation.
+  void ReplaceServer(Machine& aMachine, std::uint16_t aPort);
+  void AbandonConnections(Machine& aMachine);
+  static bool IsCut(const Machine& aMachine);
+  static bool IsResponsive(const Machine& aMachine);
   void HandleMinionRequest(Machine& aMachine, const std::shared_ptr<StandinExchange>& aExchange);
   /// Applies what a minion checks and does at the arrival of any request. A wait for an end is not
   /// part of it.
@@ -169,6 +200,7 @@
   TimerService& m_timers;
   RowStoreStandin& m_store;
   GuaranteeChecker& m_checker;
+  std::mt19937_64 m_random;
   StandinServer m_cloudApiServer;
   std::map<std::string, std::unique_ptr<Machine>> m_machines;
   std::map<std::uint64_t, std::set<std::string>>
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -84,7 +84,9 @@
     "log", "log what the stand-ins do to standard output")(
     "late-orders",
     "orders to minions are carried out late or refused, and minions restart under their IDs")(
-    "clock-steps", "the time of day of machines steps and steps back")(
+    "same-id",
+    "minions restart under their IDs without a sign of it and are cut off soon after; with --calm "
+    "no other faults")("clock-steps", "the time of day of machines steps and steps back")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
   mustardtray::soak::SoakOptions soakOptions;
@@ -108,6 +110,7 @@
     soakOptions.m_machinesPerPool = parsed["machines"].as<std::size_t>();
     soakOptions.m_hasPlannedWork = parsed.count("series") > 0;
     soakOptions.m_hasLateOrders = parsed.count("late-orders") > 0;
+    soakOptions.m_hasSameIdCuts = parsed.count("same-id") > 0;
     soakOptions.m_hasClockSteps = parsed.count("clock-steps") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t kDefaultSpareCount = 3;
 constexpr Millis kSubmitPeriod{ 70 };
 constexpr Millis kMinSubmitPeriod{ 10 };
+/// With less load minions still have room after a crash that the owner has not heard of.
+constexpr int kSameIdSubmitPeriods = 2;
 
 TimePoint Now()
 {
@@ -60,6 +62,7 @@
   , m_plannedRandom(m_options.m_seed)
   , m_orderRandom(m_options.m_seed)
   , m_clockRandom(m_options.m_seed)
+  , m_sameIdRandom(m_options.m_seed)
   , m_orderFaults(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
@@ -89,6 +92,7 @@
   }
   CallerOptions callers;
   callers.m_submitsDeadlyJobs = m_options.m_hasDeadlyUnits;
+  callers.m_submitsSlowJobs = m_options.m_hasSameIdCuts;
   callers.m_variesDemand = m_options.m_hasPlannedWork;
   callers.m_onBroken = [this](const std::string& aRequest, TimePoint aSentAt) {
     OnRequestBroken(aRequest, aSentAt);
@@ -96,6 +100,7 @@
   callers.m_submitPeriod = std::max(kMinSubmitPeriod,
                                     kSubmitPeriod * kDefaultMachinesPerPool /
                                       std::max(1, static_cast<int>(m_options.m_machinesPerPool)));
+  callers.m_submitPeriod *= m_options.m_hasSameIdCuts ? kSameIdSubmitPeriods : 1;
   m_callers = std::make_unique<CallerSimulator>(
     m_context, m_timers, m_checker, m_options.m_seed, addresses, std::move(queues), callers);
 }
@@ -208,6 +213,9 @@
     if (m_options.m_hasLateOrders) {
       StartOrderFaults();
     }
+    if (m_options.m_hasSameIdCuts) {
+      CutRestartedMinions();
+    }
     if (m_options.m_hasClockSteps) {
       StepClocks();
     }
@@ -312,6 +320,7 @@
   m_faultTimer.Cancel();
   m_delayTimers.clear();
   EndOrderFaults();
+  m_sameIdTimer.Cancel();
   m_storeHealTimer.Cancel();
   m_store.SetFault(StoreFault::None);
   for (auto& [name, node] : m_nodes) {
@@ -332,7 +341,9 @@
     node.m_linkHealTimer =
       m_timers.After(kMaxUnitAbsence, [&node] { node.m_storeProxy->SetFault(LinkFault::None); });
   }
-  m_phaseTimer = m_timers.After(kLongRunningCheckDelay, [this] { CheckLongRunningUnits(); });
+  const auto cutsLeft = std::chrono::duration_cast<Millis>(m_cutsEndAt - Now());
+  m_phaseTimer = m_timers.After(kLongRunningCheckDelay + std::max(Millis{ 0 }, cutsLeft),
+                                [this] { CheckLongRunningUnits(); });
 }
 
 SoakRun::Room SoakRun::FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -41,6 +41,8 @@
   bool m_injectsFaults = true;
   bool m_hasPlannedWork = false; ///< Overlapping series of planned work all the time.
   bool m_hasLateOrders = false;  ///< Orders to minions are late or refused; minions restart.
+  /// Minions restart under their IDs without a sign of it and are cut off soon after.
+  bool m_hasSameIdCuts = false;
   bool m_hasClockSteps = false;  ///< The time of day of machines steps and steps back.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
@@ -98,6 +100,11 @@
   /// Restarts a minion, mostly under its ID, with a start that is still to be carried out if there
   /// is one.
   void RestartMinion();
+  /// Some machines of a pool crash silently, return under their IDs and are cut off soon after. In
+  /// some cases the owner of the pool is killed too.
+  void CutRestartedMinions();
+  void KillOwner(const std::string& aShard);
+  int DrawSameId(int aMin, int aMax);
   /// Some machines have another time of day until the next step.
   void StepClocks();
   void EndClockSteps();
@@ -153,12 +160,13 @@
   std::mt19937_64 m_plannedRandom;
   std::mt19937_64 m_orderRandom;
   std::mt19937_64 m_clockRandom;
+  std::mt19937_64 m_sameIdRandom;
   OrderFaults m_orderFaults;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   GuaranteeChecker m_checker;
   RowStoreStandin m_store{ m_context, m_timers };
-  MachineStandin m_machines{ m_context, m_timers, m_store, m_checker };
+  MachineStandin m_machines{ m_context, m_timers, m_store, m_checker, m_options.m_seed };
   std::map<std::string, std::unique_ptr<Node>> m_nodes;
   job::ShardMap m_shards;
   std::unique_ptr<CallerSimulator> m_callers;
@@ -179,6 +187,8 @@
   TimerHandle m_orderFaultsTimer;
   TimerHandle m_orderFaultTimer;
   TimerHandle m_clockTimer;
+  TimerHandle m_sameIdTimer;
+  TimePoint m_cutsEndAt{};
   TimerHandle m_storeHealTimer;
   TimerHandle m_phaseTimer;
   TimerHandle m_endCheckTimer;
