Job: a run whose start got no answer is no likely cause of a crash

Such a run still counts as a suspect, so a unit that crashes its minion before the answer is given up, but never as the one that had just started. The new case of UnitCrashTest fails without the change (given up after two crashes). The case of gangs ordered starts without answers or counting them; it answers and counts them now.

--- a/src/job/PoolSchedulerCrashes.cpp
+++ b/src/job/PoolSchedulerCrashes.cpp
@@ -54,7 +54,9 @@
         return aOther.m_unit == unit;
       });
     if (!isListed) {
-      const bool isRecent = run.m_orderedAt > aMinion.m_lastAnswerAt - kStartupTime;
+      // Without an answer to its start it may not have begun before the crash.
+      const bool isAnswered = run.m_confirmedAt != TimePoint{} || !aMinion.HasOpenStart(run);
+      const bool isRecent = isAnswered && run.m_orderedAt > aMinion.m_lastAnswerAt - kStartupTime;
       recent += isRecent ? 1 : 0;
       suspects.push_back({ std::move(unit), run.m_run, false, !isRecent });
     }
--- a/tests/job/UnitCrashTest.cpp
+++ b/tests/job/UnitCrashTest.cpp
@@ -258,7 +258,7 @@
            { { ++m_endNumber, "a.0.0.1", run, RunOutcome::GangBroken, {} } },
            m_starts.contains(second) ? m_starts[second] : 1);
     Advance(kSettleTime);
-    Decide();
+    Start();
     SaveAll();
   }
   CHECK(StateOf("a") == JobState::Failed);
@@ -337,4 +337,28 @@
   CHECK(occurrences.at(1).m_steps[0].m_units[0].m_crashes.m_all == 0);
 }
 
+// Guards against LOST: the order reached its minion after the crash, or not at all.
+TEST_CASE_FIXTURE(CrashFixture, "a unit is not given up for crashes before its start was answered")
+{
+  AddMinion("a");
+  m_pool.AddJob(MakeJob("j", 1), m_now, false);
+  int crashes = 0;
+  for (int i = 0; i < 40 && crashes < 3; ++i) {
+    Report("a", {}, {}, m_startMs);
+    const PoolOrders orders = Decide();
+    for (const StopOrder& stop : orders.m_stops) {
+      m_pool.OnStopAnswer(stop, OrderResult::Started, m_now);
+    }
+    for (const StartOrder& start : orders.m_starts) {
+      m_pool.OnStartAnswer(start, OrderResult::NoAnswer, m_now);
+      Crash({ "a" });
+      ++crashes;
+    }
+    Advance(Millis(500));
+    SaveAll();
+  }
+  CHECK(crashes == 3);
+  CHECK_FALSE(m_pool.FindJob("j")->HasEnded());
+}
+
 } // namespace mustardtray::job
