Job: a crash that several minions share gives up no unit as the only suspect

Its job ended, and two other units at work were stopped (AVAIL 2).

The counts exclude shared crashes already; the decision on the latest crash now does so too.

--- a/src/job/PoolSchedulerCrashes.cpp
+++ b/src/job/PoolSchedulerCrashes.cpp
@@ -83,7 +83,7 @@
     CrashNotice notice;
     for (const CrashSuspect& suspect : crash.m_suspects) {
       const auto counts = CountCrash(crash, suspect, aNow);
-      if (counts && IsDeadly(*counts, suspect.m_isAlone)) {
+      if (counts && IsDeadly(*counts, suspect.m_isAlone && !crash.m_isCoincident)) {
         notice.m_deadlyUnits.push_back(suspect.m_unit.Text());
       } else if (counts && NeedsIsolation(*counts, {})) {
         notice.m_isolatedUnits.push_back(suspect.m_unit.Text());
@@ -113,7 +113,7 @@
     // As with failures: a count that is lost in a takeover would allow one start too many.
     unit->m_failedRevision = job->m_revision;
   }
-  if (IsDeadly(counts, aSuspect.m_isAlone)) {
+  if (IsDeadly(counts, aSuspect.m_isAlone && !aCrash.m_isCoincident)) {
     EndJob(*job, JobState::Failed, aNow);
     for (const CrashSuspect& other : m_crashHistory.OnGivenUp(aSuspect.m_unit)) {
       ExplainCrash(other);
