Job, node: log why a job's runs stop, and how many units are unavailable

Stops of a cancelled job and of a failed one had the same reason, and no line told how many other units of a long-running step were at work when one was stopped, so a stop beyond the step's limit could not be told from an allowed one. No change of decisions.

--- a/include/mustardtray/job/Minion.h
+++ b/include/mustardtray/job/Minion.h
@@ -3,6 +3,7 @@
 /// Registration of minions, the orders they get and the answers they give.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,7 +65,9 @@
 /// Why a run is stopped.
 enum class StopReason
 {
-  JobEnded,        ///< Its job was cancelled or has ended.
+  JobCancelled,
+  JobCompleted,
+  JobFailed,
   UnitDone,        ///< Another copy of the unit is done.
   StartUnanswered, ///< Its start order got no answer, so it may never begin.
   Unwanted,        ///< The minion lists it, but its unit runs elsewhere or its job has ended.
@@ -80,9 +83,11 @@
   std::string m_minion;
   std::string m_unit;
   std::uint32_t m_run = 0;
-  StopReason m_reason = StopReason::JobEnded;
+  StopReason m_reason = StopReason::JobCancelled;
   bool m_isRepeated = false;        ///< An earlier order for the run got no answer.
   std::int64_t m_minionStartMs = 0; ///< Start time of the incarnation that the order is meant for.
+  /// Other units of a long-running step that are not known to be at work, for the log.
+  std::optional<std::uint32_t> m_unavailableOthers{};
 };
 
 /// Order to limit a run to a percentage of its full speed.
@@ -155,7 +160,9 @@
 struct EnumNames<job::StopReason>
 {
   static constexpr std::array kTable{
-    std::pair{ job::StopReason::JobEnded, std::string_view("job-ended") },
+    std::pair{ job::StopReason::JobCancelled, std::string_view("job-cancelled") },
+    std::pair{ job::StopReason::JobCompleted, std::string_view("job-completed") },
+    std::pair{ job::StopReason::JobFailed, std::string_view("job-failed") },
     std::pair{ job::StopReason::UnitDone, std::string_view("unit-done") },
     std::pair{ job::StopReason::StartUnanswered, std::string_view("start-unanswered") },
     std::pair{ job::StopReason::Unwanted, std::string_view("unwanted") },
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -298,7 +298,7 @@
   void ForgetCrashesIfStable(Job& aJob, const UnitId& aId, const Run& aRun, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow);
-  void StopRunsOf(const Job& aJob, TimePoint aNow);
+  void StopRunsOf(const Job& aJob, StopReason aReason, TimePoint aNow);
   void MarkUnsaved(Job& aJob);
   Unit* FindUnit(const UnitId& aId, Job** aJob);
   void ExpireLeases(TimePoint aNow);
@@ -415,6 +415,11 @@
   bool CanEmpty(const MinionState& aMinion, TimePoint aNow) const;
   /// Returns the cordoned minion with the fewest long-running units, or nullptr.
   MinionState* FirstToDrain();
+  /// Counts the other units of a run's step that are not known to be at work; nothing when the job
+  /// is unknown or has ended. aTogetherWith: a minion whose units count as stopped.
+  std::optional<std::uint32_t> CountUnavailableOthers(const Run& aRun,
+                                                      const MinionState* aTogetherWith,
+                                                      TimePoint aNow) const;
   /// Whether the unit may be stopped within its step's limit. aTogetherWith: a minion whose units
   /// are stopped at the same time.
   bool CanEvict(const Run& aRun, const MinionState* aTogetherWith, TimePoint aNow) const;
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -99,7 +99,7 @@
   TimePoint m_orderedAt{};
   TimePoint m_confirmedAt{};
   TimePoint m_lastStopAt{};
-  StopReason m_stopReason = StopReason::JobEnded; ///< Of the first stop order.
+  StopReason m_stopReason = StopReason::JobCancelled; ///< Of the first stop order.
   int m_percent = 0;
   double m_gauge = 0;
   int m_speedPercent = 100;
--- a/src/job/PoolSchedulerDrain.cpp
+++ b/src/job/PoolSchedulerDrain.cpp
@@ -18,25 +18,18 @@
 
 } // namespace
 
-bool PoolScheduler::CanEvict(const Run& aRun,
-                             const MinionState* aTogetherWith,
-                             TimePoint aNow) const
+std::optional<std::uint32_t> PoolScheduler::CountUnavailableOthers(const Run& aRun,
+                                                                   const MinionState* aTogetherWith,
+                                                                   TimePoint aNow) const
 {
   const auto found = m_jobs.find(aRun.m_unit.m_job);
   if (found == m_jobs.end()) {
-    return true;
+    return std::nullopt;
   }
-  const Job& job = *found->second;
-  if (job.m_isInherited && aNow - m_beganAt < kInheritedStopTime) {
-    return false;
+  const auto occurrence = found->second->m_occurrences.find(aRun.m_unit.m_occurrence);
+  if (occurrence == found->second->m_occurrences.end()) {
+    return std::nullopt;
   }
-  const auto occurrence = job.m_occurrences.find(aRun.m_unit.m_occurrence);
-  if (occurrence == job.m_occurrences.end()) {
-    return true;
-  }
-  const StepSpec& spec = job.m_record.m_spec.m_steps[aRun.m_unit.m_step];
-  // Without a configured limit, units are taken one at a time, so that the step keeps working.
-  const std::uint32_t maxUnavailable = spec.m_maxUnavailableUnits.value_or(1);
   const StepState& step = occurrence->second.m_steps[aRun.m_unit.m_step];
   std::uint32_t unavailableUnits = 0;
   for (std::uint32_t i = 0; i < step.m_units.size(); ++i) {
@@ -58,7 +51,25 @@
     }
     unavailableUnits += isAtWork ? 0 : 1;
   }
-  return unavailableUnits < maxUnavailable;
+  return unavailableUnits;
+}
+
+bool PoolScheduler::CanEvict(const Run& aRun,
+                             const MinionState* aTogetherWith,
+                             TimePoint aNow) const
+{
+  const std::optional<std::uint32_t> unavailable =
+    CountUnavailableOthers(aRun, aTogetherWith, aNow);
+  if (!unavailable) {
+    return true; // The job is unknown or has ended.
+  }
+  const Job& job = *m_jobs.at(aRun.m_unit.m_job);
+  if (job.m_isInherited && aNow - m_beganAt < kInheritedStopTime) {
+    return false;
+  }
+  // Without a configured limit, units are taken one at a time, so that the step keeps working.
+  const StepSpec& spec = job.m_record.m_spec.m_steps[aRun.m_unit.m_step];
+  return *unavailable < spec.m_maxUnavailableUnits.value_or(1);
 }
 
 bool PoolScheduler::CanRestart(const Run& aRun, TimePoint aNow) const
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -274,6 +274,18 @@
   }
 }
 
+namespace {
+
+StopReason ReasonOfEnd(JobState aState)
+{
+  if (aState == JobState::Cancelled) {
+    return StopReason::JobCancelled;
+  }
+  return aState == JobState::Completed ? StopReason::JobCompleted : StopReason::JobFailed;
+}
+
+} // namespace
+
 void PoolScheduler::EndJob(Job& aJob, JobState aState, TimePoint aNow)
 {
   aJob.m_state = aState;
@@ -282,7 +294,7 @@
   m_activeJobs.erase(&aJob);
   m_scheduledJobs.erase(&aJob);
   std::erase_if(m_queued, [&](const QueuedStep& aQueued) { return aQueued.m_job == &aJob; });
-  StopRunsOf(aJob, aNow);
+  StopRunsOf(aJob, ReasonOfEnd(aState), aNow);
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       m_advice.ForgetStep(StepName(UnitId{ aJob.m_record.m_id, number, s, 0 }.Text()));
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -447,6 +447,10 @@
   if (isRepeated && aRun.m_isStopConfirmed) {
     return;
   }
+  std::optional<std::uint32_t> unavailable;
+  if (aRun.m_isLongRunning) {
+    unavailable = CountUnavailableOthers(aRun, nullptr, aNow);
+  }
   aRun.m_stopReason = isRepeated ? aRun.m_stopReason : aReason;
   aRun.m_phase = RunPhase::Stopping;
   aRun.m_lastStopAt = aNow;
@@ -455,17 +459,18 @@
                                aRun.m_run,
                                aRun.m_stopReason,
                                isRepeated,
-                               aMinion.m_entry.m_startedAtMs });
+                               aMinion.m_entry.m_startedAtMs,
+                               unavailable });
 }
 
-void PoolScheduler::StopRunsOf(const Job& aJob, TimePoint aNow)
+void PoolScheduler::StopRunsOf(const Job& aJob, StopReason aReason, TimePoint aNow)
 {
   const std::string prefix = aJob.m_record.m_id + ".";
   for (auto& [id, minion] : m_minions) {
     for (auto entry = minion.m_runs.lower_bound(prefix);
          entry != minion.m_runs.end() && entry->first.starts_with(prefix);
          ++entry) {
-      StopRun(minion, entry->second, StopReason::JobEnded, aNow);
+      StopRun(minion, entry->second, aReason, aNow);
     }
   }
 }
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -331,7 +331,9 @@
         "minion",
         aOrder.m_minion,
         "reason",
-        ToName(aOrder.m_reason));
+        ToName(aOrder.m_reason),
+        "unavailable", // Other units of a long-running step.
+        aOrder.m_unavailableOthers ? std::to_string(*aOrder.m_unavailableOthers) : "-");
   }
   session->second->SendOrder(
     kOrderTimeout,
