Job: give up a long-running unit by evidence, and without the others of its job

Callers saw more units of a long-running step away than its limit allows: when minions crashed by themselves in series, one of its units was given up after four crashes, of which isolation had made one its own, and the end of the job stopped all the others at once.

The crashes of a long-running unit are now weighed against the restarts of minions without it, and a unit that is given up ends alone: its job fails only when no long-running unit of it is left. Units that end are judged as before.

IsDeadly() loses a parameter that AddCrash() had already counted in.

--- a/include/mustardtray/job/CrashHistory.h
+++ b/include/mustardtray/job/CrashHistory.h
@@ -23,6 +23,9 @@
   /// that ran on the minion was given up, or it had run for a while and others had just started.
   std::uint32_t m_explained = 0;
   std::uint32_t m_alone = 0; ///< Others, when the unit had just started and no other had.
+  /// Evidence that a long-running unit causes the crashes, in decibans (ten times the logarithm of
+  /// a ratio of likelihoods). Not below 0, because a unit may begin to crash its minions later.
+  int m_evidence = 0;
 
   bool operator==(const CrashCounts&) const = default;
 };
@@ -46,6 +49,8 @@
   std::uint32_t m_run = 0;
   bool m_isAlone = false;    ///< It had just started, and no other run had.
   bool m_isUnlikely = false; ///< It had run for a while when other runs had started lately.
+  Millis m_ranFor{ 0 };      ///< Until its minion last answered.
+  std::size_t m_likely = 1;  ///< Suspects of the crash that are as likely as this one.
 };
 
 struct MinionCrash
@@ -64,8 +69,11 @@
 /// Whether a start has to wait until the losses are resolved, because they may be the last crashes
 /// that the unit is allowed.
 bool MustWaitForLosses(const CrashCounts& aCounts, const UnresolvedLosses& aLosses, TimePoint aNow);
-/// Whether the unit is given up. aWasAlone: the latest crash hit the unit alone.
-bool IsDeadly(const CrashCounts& aCounts, bool aWasAlone);
+/// Whether the unit is given up, unless it is long-running.
+bool IsDeadly(const CrashCounts& aCounts);
+/// Whether a long-running unit is given up. It restarts for as long as its job is wanted, so it has
+/// many chances to be on minions that crash by themselves: only the evidence counts.
+bool IsDeadlyLongRunning(const CrashCounts& aCounts);
 /// Adds a crash to the counts of a suspect.
 void AddCrash(CrashCounts& aCounts, const MinionCrash& aCrash, const CrashSuspect& aSuspect);
 
@@ -85,6 +93,13 @@
   void OnAnswer(const std::string& aMinion, std::int64_t aStartedAtMs);
   /// Returns the crashes for which it is known whether other minions crashed at the same time.
   std::vector<MinionCrash> TakeSettled(TimePoint aNow);
+  /// Returns the evidence of a crash against one of its suspects, see CrashCounts::m_evidence: how
+  /// well the unit explains that it had run for this time, and how well the recent restarts of
+  /// minions without it do. aMinions: minions of the pool.
+  int EvidenceOf(const MinionCrash& aCrash,
+                 const CrashSuspect& aSuspect,
+                 std::size_t aMinions,
+                 TimePoint aNow) const;
   /// Returns the losses and the unsettled crashes by unit.
   const UnresolvedByJob& Unresolved() const;
   /// Called when a unit is given up: returns the units that were on a minion with it when that
@@ -103,6 +118,7 @@
     std::int64_t m_restartedAtMs = 0;
     std::string m_minion;
     TimePoint m_confirmedAt{};
+    std::vector<UnitId> m_units; ///< That ran on the minion.
   };
 
   void AddUnsettled(const MinionEntry& aMinion,
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -274,6 +274,11 @@
                                         TimePoint aNow);
   /// Called when another unit has been given up for a crash that was counted at the suspect.
   void ExplainCrash(const CrashSuspect& aSuspect);
+  static bool IsDeadlyUnit(const Job& aJob, const UnitId& aId, const CrashCounts& aCounts);
+  /// Whether the unit gets no more starts, because it has failed too often or crashes its minions.
+  static bool IsGivenUp(const QueuedStep& aQueued, std::uint32_t aIndex);
+  /// Whether the unit has to start.
+  static bool IsWaiting(const QueuedStep& aQueued, std::uint32_t aIndex);
   /// Returns the unit that holds the crash counts: the first one of a gang.
   static UnitId CountedUnit(const Job& aJob, const UnitId& aId);
   UnresolvedLosses LossesOf(const UnitId& aCounted) const;
@@ -297,6 +302,9 @@
   /// Forgets the crashes under a long-running unit that has been running for long enough.
   void ForgetCrashesIfStable(Job& aJob, const UnitId& aId, const Run& aRun, TimePoint aNow);
   void EndJob(Job& aJob, JobState aState, TimePoint aNow);
+  /// Ends a job as failed, unless it has long-running units that are not given up: these serve
+  /// their own users until the job is cancelled.
+  void FailJobUnlessInUse(Job& aJob, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow);
   void StopRunsOf(const Job& aJob, StopReason aReason, TimePoint aNow);
   void MarkUnsaved(Job& aJob);
--- a/src/job/CrashHistory.cpp
+++ b/src/job/CrashHistory.cpp
@@ -1,6 +1,7 @@
 #include "mustardtray/job/CrashHistory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <set>
 
@@ -35,6 +36,27 @@
 /// Crashes after which it is given up without one that hit it alone, if enough are unexplained.
 constexpr std::uint32_t kMaxCrashes = 5;
 constexpr std::uint32_t kMaxUnexplainedCrashes = 3;
+/// Restarts within this time tell how often minions restart by themselves.
+constexpr Millis kRestartRateTime{ 10'000 };
+/// Limits the memory for restarts.
+constexpr std::size_t kMaxRestarts = 1'000;
+/// Least rate of such restarts, per minion and second: fewer cannot be told from none in that time.
+constexpr double kMinRestartRate = 0.05;
+/// Rate at which a unit that crashes its minions does so, per second of a run: it does soon after
+/// its start.
+constexpr double kDeadlyRate = 1.0;
+/// A minion that crashes has answered within this time: the interval between its calls.
+constexpr Millis kMaxCrashDelay{ 1'000 };
+/// Evidence, in decibans, that is enough to give a long-running unit up: the crashes would be due
+/// to chance in one of 10,000 cases...
+constexpr std::uint32_t kDeadlyEvidence = 40;
+/// ...or in one of 1,000 when there have been kMaxCrashes of them.
+constexpr int kDeadlyEvidenceOfMany = 30;
+
+double ToSeconds(Millis aTime)
+{
+  return static_cast<double>(aTime.count()) / 1'000.0;
+}
 
 std::uint32_t CountSuspicious(const CrashCounts& aCounts, const UnresolvedLosses& aLosses)
 {
@@ -54,15 +76,20 @@
   return aLosses.m_all > 0 && aNow < aLosses.m_waitUntil && NeedsIsolation(aCounts, aLosses);
 }
 
-bool IsDeadly(const CrashCounts& aCounts, bool aWasAlone)
+bool IsDeadly(const CrashCounts& aCounts)
 {
-  const bool wasEverAlone = aWasAlone || aCounts.m_alone > 0;
   return aCounts.m_alone >= kDeadlyAloneCrashes ||
-         (wasEverAlone && aCounts.m_all >= kDeadlyCrashes) ||
+         (aCounts.m_alone > 0 && aCounts.m_all >= kDeadlyCrashes) ||
          (aCounts.m_all >= kMaxCrashes &&
           aCounts.m_all - aCounts.m_explained >= kMaxUnexplainedCrashes);
 }
 
+bool IsDeadlyLongRunning(const CrashCounts& aCounts)
+{
+  return aCounts.m_evidence >= kDeadlyEvidence ||
+         (aCounts.m_all >= kMaxCrashes && aCounts.m_evidence >= kDeadlyEvidenceOfMany);
+}
+
 void AddCrash(CrashCounts& aCounts, const MinionCrash& aCrash, const CrashSuspect& aSuspect)
 {
   ++aCounts.m_all;
@@ -125,10 +152,15 @@
                                 std::int64_t aRestartedAtMs,
                                 TimePoint aNow)
 {
-  while (!m_restarts.empty() && aNow - m_restarts.front().m_confirmedAt > 2 * kSettleTime) {
+  while (m_restarts.size() >= kMaxRestarts ||
+         (!m_restarts.empty() && aNow - m_restarts.front().m_confirmedAt > kRestartRateTime)) {
     m_restarts.pop_front();
   }
-  m_restarts.push_back({ aRestartedAtMs, aMinion.m_id, aNow });
+  Restart restart{ aRestartedAtMs, aMinion.m_id, aNow, {} };
+  for (const CrashSuspect& suspect : aSuspects) {
+    restart.m_units.push_back(suspect.m_unit);
+  }
+  m_restarts.push_back(std::move(restart));
   m_isUnresolvedStale = true;
   if (!aSuspects.empty()) {
     m_unsettled.push_back(
@@ -141,6 +173,7 @@
   std::set<std::string_view> others;
   for (const Restart& restart : m_restarts) {
     if (restart.m_minion != aMinion &&
+        m_restarts.back().m_confirmedAt - restart.m_confirmedAt <= 2 * kSettleTime &&
         std::abs(restart.m_restartedAtMs - aRestartedAtMs) <= kCoincidence.count()) {
       others.insert(restart.m_minion);
     }
@@ -148,6 +181,35 @@
   return others.size() >= kCoincidentMinions;
 }
 
+int CrashHistory::EvidenceOf(const MinionCrash& aCrash,
+                             const CrashSuspect& aSuspect,
+                             std::size_t aMinions,
+                             TimePoint aNow) const
+{
+  if (aCrash.m_isCoincident) {
+    return 0;
+  }
+  const auto others = std::count_if(m_restarts.begin(), m_restarts.end(), [&](const Restart& aOne) {
+    const bool isRecent = aNow - aOne.m_confirmedAt <= kRestartRateTime;
+    const auto unit = std::find(aOne.m_units.begin(), aOne.m_units.end(), aSuspect.m_unit);
+    return isRecent && unit == aOne.m_units.end();
+  });
+  const double accidentalRate = std::max(kMinRestartRate,
+                                         static_cast<double>(others) / ToSeconds(kRestartRateTime) /
+                                           static_cast<double>(std::max<std::size_t>(aMinions, 1)));
+  // Ratio of two exponential densities at the time for which the run had lasted.
+  const double ranFor = ToSeconds(aSuspect.m_ranFor + kMaxCrashDelay / 2);
+  const double logRatio = std::log10(kDeadlyRate / accidentalRate) -
+                          (kDeadlyRate - accidentalRate) * ranFor / std::log(10.0);
+  const double decibans = 10.0 * logRatio;
+  if (decibans > 0 && aSuspect.m_isUnlikely) {
+    return 0;
+  }
+  return static_cast<int>(std::lround(
+    decibans > 0 ? decibans / static_cast<double>(std::max<std::size_t>(aSuspect.m_likely, 1))
+                 : decibans));
+}
+
 bool CrashHistory::IsCoincident(const LostRuns& aLost) const
 {
   const auto count = std::count_if(m_lost.begin(), m_lost.end(), [&](const LostRuns& aOther) {
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -221,7 +221,7 @@
   bool isComplete = true;
   for (std::uint32_t i = 0; i < step.m_units.size(); ++i) {
     Unit& unit = step.m_units[i];
-    if (unit.m_isDone || !unit.m_minions.empty()) {
+    if (!IsWaiting(aQueued, i)) {
       continue;
     }
     if (IsFailureUnsaved(job, unit)) {
@@ -271,7 +271,7 @@
   Job& job = *aQueued.m_job;
   const StepSpec& spec = aQueued.Spec();
   StepState& step = aQueued.State();
-  if (step.IsDone()) {
+  if (step.IsDone() || IsGivenUp(aQueued, 0)) {
     return true;
   }
   PlacementRequest request = RequestFor(aQueued);
--- a/src/job/PoolSchedulerCrashes.cpp
+++ b/src/job/PoolSchedulerCrashes.cpp
@@ -62,12 +62,15 @@
       const bool isAnswered = run.m_confirmedAt != TimePoint{} || !aMinion.HasOpenStart(run);
       const bool isRecent = isAnswered && run.m_orderedAt > aMinion.m_lastAnswerAt - kStartupTime;
       recent += isRecent ? 1 : 0;
-      suspects.push_back({ std::move(unit), run.m_run, false, !isRecent });
+      const Millis ranFor = std::chrono::duration_cast<Millis>(
+        std::max(aMinion.m_lastAnswerAt - run.m_orderedAt, Micros(0)));
+      suspects.push_back({ std::move(unit), run.m_run, false, !isRecent, ranFor });
     }
   }
   for (CrashSuspect& suspect : suspects) {
     suspect.m_isAlone = recent == 1 && !suspect.m_isUnlikely;
     suspect.m_isUnlikely = suspect.m_isUnlikely && recent > 0;
+    suspect.m_likely = recent > 0 ? recent : suspects.size();
   }
   return suspects;
 }
@@ -89,7 +92,7 @@
     CrashNotice notice;
     for (const CrashSuspect& suspect : crash.m_suspects) {
       const auto counts = CountCrash(crash, suspect, aNow);
-      if (counts && IsDeadly(*counts, suspect.m_isAlone && !crash.m_isCoincident)) {
+      if (counts && IsDeadlyUnit(*m_jobs.at(suspect.m_unit.m_job), suspect.m_unit, *counts)) {
         notice.m_deadlyUnits.push_back(suspect.m_unit.Text());
       } else if (counts && NeedsIsolation(*counts, {})) {
         notice.m_isolatedUnits.push_back(suspect.m_unit.Text());
@@ -112,6 +115,10 @@
   }
   unit->m_lastCrashedRun = aSuspect.m_run;
   AddCrash(unit->m_crashes, aCrash, aSuspect);
+  if (job->m_record.m_spec.m_steps[aSuspect.m_unit.m_step].m_isLongRunning) {
+    const int evidence = m_crashHistory.EvidenceOf(aCrash, aSuspect, m_minions.size(), aNow);
+    unit->m_crashes.m_evidence = std::max(unit->m_crashes.m_evidence + evidence, 0);
+  }
   job->m_hasCrashes = true;
   const CrashCounts counts = unit->m_crashes;
   MarkUnsaved(*job);
@@ -119,8 +126,8 @@
     // As with failures: a count that is lost in a takeover would allow one start too many.
     unit->m_failedRevision = job->m_revision;
   }
-  if (IsDeadly(counts, aSuspect.m_isAlone && !aCrash.m_isCoincident)) {
-    EndJob(*job, JobState::Failed, aNow);
+  if (IsDeadlyUnit(*job, aSuspect.m_unit, counts)) {
+    FailJobUnlessInUse(*job, aNow);
     for (const CrashSuspect& other : m_crashHistory.OnGivenUp(aSuspect.m_unit)) {
       ExplainCrash(other);
     }
@@ -138,6 +145,29 @@
   }
 }
 
+bool PoolScheduler::IsDeadlyUnit(const Job& aJob, const UnitId& aId, const CrashCounts& aCounts)
+{
+  return aJob.m_record.m_spec.m_steps[aId.m_step].m_isLongRunning ? IsDeadlyLongRunning(aCounts)
+                                                                  : IsDeadly(aCounts);
+}
+
+bool PoolScheduler::IsGivenUp(const QueuedStep& aQueued, std::uint32_t aIndex)
+{
+  const Job& job = *aQueued.m_job;
+  const UnitId id{ job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step, aIndex };
+  const UnitId counted = CountedUnit(job, id);
+  const Unit& unit = aQueued.State().m_units[counted.m_index];
+  const std::uint32_t maxAttempts = std::max(1U, job.m_record.m_queuePolicy.m_maxAttempts);
+  return (!aQueued.Spec().m_isLongRunning && unit.m_failures >= maxAttempts) ||
+         (unit.m_crashes != CrashCounts{} && IsDeadlyUnit(job, counted, unit.m_crashes));
+}
+
+bool PoolScheduler::IsWaiting(const QueuedStep& aQueued, std::uint32_t aIndex)
+{
+  const Unit& unit = aQueued.State().m_units[aIndex];
+  return !unit.m_isDone && unit.m_minions.empty() && !IsGivenUp(aQueued, aIndex);
+}
+
 UnitId PoolScheduler::CountedUnit(const Job& aJob, const UnitId& aId)
 {
   UnitId counted = aId;
@@ -193,7 +223,7 @@
   const std::vector<Unit>& units = aQueued.State().m_units;
   for (std::uint32_t i = 0; i < units.size(); ++i) {
     const UnitId id{ job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step, i };
-    if (!units[i].m_isDone && units[i].m_minions.empty() && MustIsolate(job, id)) {
+    if (IsWaiting(aQueued, i) && MustIsolate(job, id)) {
       const UnitId counted = CountedUnit(job, id);
       most = std::max(most, CrashesOf(job, counted).m_all + LossesOf(counted).m_all);
     }
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -221,7 +221,7 @@
 {
   const auto found = m_jobs.find(aId);
   if (found != m_jobs.end() && !found->second->HasEnded()) {
-    EndJob(*found->second, JobState::Failed, aNow);
+    FailJobUnlessInUse(*found->second, aNow);
   }
 }
 
@@ -304,6 +304,21 @@
   aJob.m_occurrences.clear();
 }
 
+void PoolScheduler::FailJobUnlessInUse(Job& aJob, TimePoint aNow)
+{
+  for (const auto& [number, occurrence] : aJob.m_occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
+      const QueuedStep step{ &aJob, number, s };
+      for (std::uint32_t i = 0; step.Spec().m_isLongRunning && i < step.Spec().m_count; ++i) {
+        if (!IsGivenUp(step, i)) {
+          return;
+        }
+      }
+    }
+  }
+  EndJob(aJob, JobState::Failed, aNow);
+}
+
 Unit* PoolScheduler::FindUnit(const UnitId& aId, Job** aJob)
 {
   const auto found = m_jobs.find(aId.m_job);
--- a/src/job/PoolSchedulerLoad.cpp
+++ b/src/job/PoolSchedulerLoad.cpp
@@ -74,11 +74,11 @@
 
 std::uint32_t PoolScheduler::CountWaiting(const QueuedStep& aQueued)
 {
-  const std::vector<Unit>& units = aQueued.State().m_units;
-  return static_cast<std::uint32_t>(
-    std::count_if(units.begin(), units.end(), [](const Unit& aUnit) {
-      return !aUnit.m_isDone && aUnit.m_minions.empty();
-    }));
+  std::uint32_t waiting = 0;
+  for (std::uint32_t i = 0; i < aQueued.State().m_units.size(); ++i) {
+    waiting += IsWaiting(aQueued, i) ? 1 : 0;
+  }
+  return waiting;
 }
 
 PlacementForecast PoolScheduler::ForecastWaiting(TimePoint aNow) const
--- a/src/job/PoolSchedulerOpenStarts.cpp
+++ b/src/job/PoolSchedulerOpenStarts.cpp
@@ -57,9 +57,8 @@
   if (m_openOrders.empty()) {
     return false;
   }
-  const std::vector<Unit>& units = aQueued.State().m_units;
-  for (std::uint32_t i = 0; i < units.size(); ++i) {
-    if (units[i].m_isDone || !units[i].m_minions.empty()) {
+  for (std::uint32_t i = 0; i < aQueued.State().m_units.size(); ++i) {
+    if (!IsWaiting(aQueued, i)) {
       continue;
     }
     const StartBinding binding = BindingOf(aQueued, i, aNow);
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -294,7 +294,7 @@
   MarkUnsaved(aJob);
   unit.m_failedRevision = aJob.m_revision;
   if (!spec.m_isLongRunning && unit.m_failures >= aJob.m_record.m_queuePolicy.m_maxAttempts) {
-    EndJob(aJob, JobState::Failed, aNow);
+    FailJobUnlessInUse(aJob, aNow);
   }
 }
 
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -112,9 +112,9 @@
         }
         const CrashCounts& counts = step.m_units[i].m_crashes;
         if (!step.m_units[i].m_isDone && counts.m_all > 0) {
-          crashes[fmt::format("{}.{}.{}", number, s, i)] = { counts.m_all,
-                                                             counts.m_explained,
-                                                             counts.m_alone };
+          crashes[fmt::format("{}.{}.{}", number, s, i)] = {
+            counts.m_all, counts.m_explained, counts.m_alone, counts.m_evidence
+          };
         }
       }
     }
@@ -207,7 +207,8 @@
     forEachUnit("crashed", [&](Unit& aUnit, const json& aValue) {
       aUnit.m_crashes = { aValue.at(0).get<std::uint32_t>(),
                           aValue.at(1).get<std::uint32_t>(),
-                          aValue.at(2).get<std::uint32_t>() };
+                          aValue.at(2).get<std::uint32_t>(),
+                          aValue.size() > 3 ? aValue.at(3).get<int>() : 0 };
       aJob.m_hasCrashes = true;
     });
     aJob.m_hasStarted = aJob.m_state == JobState::Running;
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -192,13 +192,14 @@
   for (std::size_t i = 0; i < std::min(crash.m_suspects.size(), kMaxLoggedSuspects); ++i) {
     const job::CrashSuspect& suspect = crash.m_suspects[i];
     const job::CrashCounts counts = aNotice.m_counts[i].value_or(job::CrashCounts{});
-    suspects += fmt::format("{}{}/{}:{}/{}/{}",
+    suspects += fmt::format("{}{}/{}:{}/{}/{}/{}",
                             suspects.empty() ? "" : ",",
                             suspect.m_unit.Text(),
                             suspect.m_run,
                             counts.m_all,
                             counts.m_explained,
-                            counts.m_alone);
+                            counts.m_alone,
+                            counts.m_evidence);
   }
   Log(LogCategory::Placement,
       LogLevel::Warning,
@@ -217,7 +218,7 @@
       crash.m_suspects.size(),
       "alone",
       crash.m_suspects.front().m_isAlone,
-      "suspects", // Unit and run, and crashes: all, explained, alone.
+      "suspects", // Unit and run, and crashes: all, explained, alone, evidence in decibans.
       suspects);
   for (const std::string& unit : aNotice.m_isolatedUnits) {
     Log(LogCategory::Placement, LogLevel::Info, "unit-isolated", "pool", Pool(), "unit", unit);
--- a/tests/job/CrashHistoryTest.cpp
+++ b/tests/job/CrashHistoryTest.cpp
@@ -116,22 +116,72 @@
   CHECK_FALSE(NeedsIsolation(counts, {}));
   AddCrash(counts, single, beside);
   CHECK(NeedsIsolation(counts, {}));
-  CHECK_FALSE(IsDeadly(counts, false));
+  CHECK_FALSE(IsDeadly(counts));
   AddCrash(counts, single, alone);
-  CHECK_FALSE(IsDeadly(counts, true));
+  CHECK_FALSE(IsDeadly(counts));
   AddCrash(counts, single, alone);
-  CHECK(IsDeadly(counts, true));
+  CHECK(IsDeadly(counts));
 
   CrashCounts together;
   AddCrash(together, coincident, alone);
   AddCrash(together, coincident, alone);
   CHECK(together == CrashCounts{ 2, 2, 0 });
   CHECK_FALSE(NeedsIsolation(together, {}));
-  CHECK_FALSE(IsDeadly(together, true));
+  CHECK_FALSE(IsDeadly(together));
 
   // Without a crash that hit it alone, some of them have to be unexplained.
-  CHECK(IsDeadly(CrashCounts{ 5, 2, 0 }, false));
-  CHECK_FALSE(IsDeadly(CrashCounts{ 5, 3, 0 }, false));
+  CHECK(IsDeadly(CrashCounts{ 5, 2, 0 }));
+  CHECK_FALSE(IsDeadly(CrashCounts{ 5, 3, 0 }));
+}
+
+TEST_CASE(
+  "crashes are evidence against a long-running unit as far as other restarts do not explain them")
+{
+  constexpr std::size_t kMinions = 8;
+  const std::vector<CrashSuspect> suspects = Suspect("a", 1);
+  CrashSuspect suspect = suspects[0];
+  const auto evidence = [&](const CrashHistory& aHistory, bool aIsCoincident = false) {
+    MinionCrash crash;
+    crash.m_isCoincident = aIsCoincident;
+    return aHistory.EvidenceOf(crash, suspect, kMinions, kStart);
+  };
+  CrashHistory calm;
+  calm.OnRunsCrashed(Minion("m0"), suspects, 9'000, kStart);
+  const int alone = evidence(calm);
+  CHECK(alone >= 10);
+  CHECK(evidence(calm, true) == 0);
+  SUBCASE("other minions restart as often")
+  {
+    CrashHistory busy;
+    for (int i = 0; i < 40; ++i) {
+      busy.OnRunsCrashed(Minion("m" + std::to_string(i % 8)), {}, 9'000 + 200 * i, kStart);
+    }
+    CHECK(evidence(busy) < alone / 2);
+    // Those with the unit do not count.
+    CrashHistory own;
+    for (int i = 0; i < 40; ++i) {
+      own.OnRunsCrashed(Minion("m" + std::to_string(i % 8)), suspects, 9'000 + 200 * i, kStart);
+    }
+    CHECK(evidence(own) == alone);
+  }
+  SUBCASE("other units had just started too")
+  {
+    suspect.m_likely = 4;
+    CHECK(evidence(calm) <= alone / 4 + 1);
+  }
+  SUBCASE("it had run for some seconds")
+  {
+    suspect.m_ranFor = Millis(6'000);
+    CHECK(evidence(calm) < 0);
+  }
+  SUBCASE("it is enough after four crashes, or a little less after five")
+  {
+    CHECK_FALSE(IsDeadlyLongRunning({ 3, 0, 3, 3 * alone }));
+    CHECK(IsDeadlyLongRunning({ 4, 0, 4, 4 * alone }));
+    CHECK_FALSE(IsDeadlyLongRunning({ 4, 0, 0, 35 }));
+    CHECK(IsDeadlyLongRunning({ 5, 0, 0, 35 }));
+    CHECK_FALSE(IsDeadlyLongRunning({ 40, 20, 6, 29 }));
+  }
 }
 
 TEST_CASE("a start waits a limited time for the losses that could be the last crashes")
@@ -144,6 +194,15 @@
   CHECK(NeedsIsolation({ 1, 0, 0 }, LossesOf(history, "a")));
 }
 
+TEST_CASE("crashes that were stored without evidence are read")
+{
+  Job job;
+  job.m_record = MakeJob("a", 1);
+  REQUIRE(DecodeProgress(
+    R"({"state":"running","next":1,"units":{"0":["."]},"crashed":{"0.0.0":[3,2,1]}})", job));
+  CHECK(job.m_occurrences.at(0).m_steps[0].m_units[0].m_crashes == CrashCounts{ 3, 2, 1 });
+}
+
 TEST_CASE("progress without crashes reads as before")
 {
   Job job;
@@ -152,11 +211,11 @@
   CHECK(job.m_occurrences.at(0).m_steps[0].m_units[0].m_crashes == CrashCounts{});
   CHECK_FALSE(job.m_hasCrashes);
   CHECK(EncodeProgress(job).find("crashed") == std::string::npos);
-  job.m_occurrences.at(0).m_steps[0].m_units[1].m_crashes = { 3, 2, 1 };
+  job.m_occurrences.at(0).m_steps[0].m_units[1].m_crashes = { 3, 2, 1, 17 };
   Job loaded;
   loaded.m_record = job.m_record;
   REQUIRE(DecodeProgress(EncodeProgress(job), loaded));
-  CHECK(loaded.m_occurrences.at(0).m_steps[0].m_units[1].m_crashes == CrashCounts{ 3, 2, 1 });
+  CHECK(loaded.m_occurrences.at(0).m_steps[0].m_units[1].m_crashes == CrashCounts{ 3, 2, 1, 17 });
   CHECK(loaded.m_hasCrashes);
 }
 
