Job: do not stop a long-running unit that may have begun after an unanswered start

A start without an answer was revoked at once, and the stop was repeated until it was confirmed. The order may have been carried out, so such a stop ended units that were at work while others of their step were away.

The stop is sent only when the minion has just listed its runs without this one, or when the step's limit of unavailable units allows it, also when it is repeated. A run that is listed after all goes on.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -306,6 +306,10 @@
   /// their own users until the job is cancelled.
   void FailJobUnlessInUse(Job& aJob, TimePoint aNow);
   void StopRun(MinionState& aMinion, Run& aRun, StopReason aReason, TimePoint aNow);
+  /// Stops a run whose start got no answer. A long-running unit may be at work there all the same,
+  /// so that is put off until its minion has just listed its runs without it, or the limit of its
+  /// step allows the stop.
+  void RevokeStart(MinionState& aMinion, Run& aRun, TimePoint aNow);
   void StopRunsOf(const Job& aJob, StopReason aReason, TimePoint aNow);
   void MarkUnsaved(Job& aJob);
   Unit* FindUnit(const UnitId& aId, Job** aJob);
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -112,6 +112,7 @@
   Millis m_tailLatencyTarget{ 0 };
   Millis m_expectedRunTime{ 0 };  ///< The estimate, corrected by measured run times.
   bool m_isStopConfirmed = false; ///< The minion has confirmed the stop order.
+  bool m_isListed = false;        ///< Its minion's latest complete list has it.
   bool m_isSizeUnknown = false;   ///< Of an unknown job: m_reserved is not what it uses.
   /// Started by an order that was meant for a former incarnation of its minion, so it may have the
   /// longest lease that the minion grants.
--- a/src/job/PoolSchedulerOpenStarts.cpp
+++ b/src/job/PoolSchedulerOpenStarts.cpp
@@ -10,6 +10,8 @@
 
 /// Time after which an unanswered stop order is repeated.
 constexpr Millis kStopResendDelay{ 400 };
+/// A run that begins after a list without it is not at work within this time.
+constexpr Millis kMaxListAge{ 100 };
 
 } // namespace
 
@@ -95,19 +97,51 @@
     start.m_isRevoked = start.m_isRevoked || start.m_fencingToken < aReport.m_fencingToken;
     const auto entry = aMinion.m_runs.find(name.first);
     const bool hasRun = entry != aMinion.m_runs.end() && entry->second.m_run == name.second;
-    if (start.m_isRevoked && hasRun && entry->second.m_phase == RunPhase::Stopping) {
+    if (!hasRun) {
+      continue;
+    }
+    const bool isPutOff = entry->second.m_phase == RunPhase::Starting &&
+                          entry->second.m_isLongRunning && start.m_isUnanswered;
+    if (start.m_isRevoked && (isPutOff || entry->second.m_phase == RunPhase::Stopping)) {
+      entry->second.m_phase = RunPhase::Stopping;
+      entry->second.m_stopReason =
+        isPutOff ? StopReason::StartUnanswered : entry->second.m_stopReason;
       entry->second.m_isStopConfirmed = true;
       entry->second.m_confirmedAt = {};
     }
   }
 }
 
+void PoolScheduler::RevokeStart(MinionState& aMinion, Run& aRun, TimePoint aNow)
+{
+  const bool isKnownNotToRun = !aRun.m_isListed && aMinion.m_listAskedAt > aRun.m_orderedAt &&
+                               !aMinion.m_hasMoreEnds &&
+                               aNow - aMinion.m_lastAnswerAt <= kMaxListAge;
+  if (!aRun.m_isLongRunning || isKnownNotToRun || CanEvict(aRun, nullptr, aNow)) {
+    StopRun(aMinion, aRun, StopReason::StartUnanswered, aNow);
+  } else if (aRun.m_phase != RunPhase::Stopping) {
+    aRun.m_phase = RunPhase::Starting;
+    aRun.m_confirmedAt = {};
+    const auto start = aMinion.m_openStarts.find({ aRun.m_unit.Text(), aRun.m_run });
+    if (start != aMinion.m_openStarts.end()) {
+      start->second.m_isUnanswered = true;
+    }
+  }
+}
+
 void PoolScheduler::ResendStops(TimePoint aNow)
 {
   for (auto& [id, minion] : m_minions) {
     for (auto& [name, run] : minion.m_runs) {
-      if (run.m_phase == RunPhase::Stopping && !run.m_isStopConfirmed &&
-          aNow - run.m_lastStopAt > kStopResendDelay) {
+      const auto start = minion.m_openStarts.find({ name, run.m_run });
+      const bool isUnanswered =
+        run.m_phase == RunPhase::Starting && run.m_isLongRunning &&
+        (start == minion.m_openStarts.end() || start->second.m_isUnanswered);
+      const bool isUnconfirmed = run.m_phase == RunPhase::Stopping && !run.m_isStopConfirmed &&
+                                 aNow - run.m_lastStopAt > kStopResendDelay;
+      if (isUnanswered || (isUnconfirmed && run.m_stopReason == StopReason::StartUnanswered)) {
+        RevokeStart(minion, run, aNow);
+      } else if (isUnconfirmed) {
         StopRun(minion, run, run.m_stopReason, aNow);
       }
     }
--- a/src/job/PoolSchedulerRuns.cpp
+++ b/src/job/PoolSchedulerRuns.cpp
@@ -54,7 +54,7 @@
     case OrderResult::NoAnswer:
       ++minion.m_missedCalls;
       if (run.m_phase == RunPhase::Starting) {
-        StopRun(minion, run, StopReason::StartUnanswered, aNow);
+        RevokeStart(minion, run, aNow);
       }
       return;
     case OrderResult::StartedUnlisted:
@@ -353,6 +353,14 @@
       run.m_phase = RunPhase::Running;
       run.m_confirmedAt = aNow;
     }
+    // A stop without an answer has not ended it, or the minion has only refused a late start.
+    const bool isStopAnswered = run.m_isStopConfirmed && run.m_confirmedAt != TimePoint{};
+    if (run.m_isLongRunning && run.m_phase == RunPhase::Stopping && !isStopAnswered &&
+        run.m_stopReason == StopReason::StartUnanswered) {
+      run.m_phase = RunPhase::Running;
+      run.m_isStopConfirmed = false;
+      run.m_confirmedAt = aNow;
+    }
     run.m_percent = row.m_percent;
     run.m_gauge = row.m_gauge;
     if (unit && !row.m_checkpoint.empty()) {
@@ -366,7 +374,8 @@
     return; // The ends of unlisted runs may be among those that are still to be listed.
   }
   std::vector<std::string> unlisted;
-  for (const auto& [name, run] : aMinion.m_runs) {
+  for (auto& [name, run] : aMinion.m_runs) {
+    run.m_isListed = listed.contains(name);
     const bool isSettled = run.m_phase == RunPhase::Running ||
                            (run.m_phase == RunPhase::Stopping && run.m_isStopConfirmed);
     if (isSettled && run.m_confirmedAt < aAskedAt && !listed.contains(name)) {
@@ -433,7 +442,8 @@
       ended.push_back(name);
     } else if (run.m_phase != RunPhase::Stopping || run.m_isStopConfirmed) {
       run.m_isStopConfirmed = false;
-      StopRun(aMinion, run, StopReason::StartUnanswered, aNow);
+      run.m_isListed = false;
+      RevokeStart(aMinion, run, aNow);
     }
   }
   for (const std::string& name : ended) {
