--- a/tests/soak/RowStoreStandin.cpp
+++ b/tests/soak/RowStoreStandin.cpp
@@ -136,7 +136,7 @@
     aExchange->SendResponse(Commit(request.m_body));
   } else if (request.m_path == "/-/rows-get") {
     m_onRead(request.QueryValue("table").value_or(""));
-    aExchange->SendResponse(Read(request));
+    SendAtReadSpeed(aExchange, Read(request));
   } else if (request.m_path == "/-/rows-parts") {
     aExchange->SendResponse(ListPartitions(request));
   } else if (request.m_path == "/-/rows-feed") {
@@ -200,19 +200,39 @@
   const std::string partition = aRequest.QueryValue("part").value_or("");
   const std::string from = aRequest.QueryValue("from").value_or("");
   const std::string until = aRequest.QueryValue("target").value_or("");
+  const std::uint64_t limit = ParseNumber(aRequest.QueryValue("limit"));
   Json rows = Json::array();
+  bool hasMore = false;
   for (auto row = m_rows.lower_bound({ table, partition, from }); row != m_rows.end(); ++row) {
     const auto& [rowTable, rowPartition, rowKey] = row->first;
     if (rowTable != table || rowPartition != partition || (!until.empty() && rowKey >= until)) {
       break;
     }
+    hasMore = limit > 0 && rows.size() >= limit;
+    if (hasMore) {
+      break;
+    }
     rows.push_back(ToJson(row->second));
   }
   Json responseBody = MakeBody(std::move(rows));
-  responseBody["has_more"] = false;
+  responseBody["has_more"] = hasMore;
   return JsonResponse(200, responseBody.dump());
 }
 
+void RowStoreStandin::SendAtReadSpeed(const std::shared_ptr<StandinExchange>& aExchange,
+                                      HttpResponse aResponse)
+{
+  if (m_readSpeed == 0) {
+    aExchange->SendResponse(std::move(aResponse));
+    return;
+  }
+  const Millis transfer(aResponse.m_body.size() * 1'000 / m_readSpeed);
+  m_delayTimers.push_back(
+    m_timers.After(transfer, [aExchange, response = std::move(aResponse)]() mutable {
+      aExchange->SendResponse(std::move(response));
+    }));
+}
+
 HttpResponse RowStoreStandin::ListPartitions(const HttpRequest& aRequest) const
 {
   const std::string table = aRequest.QueryValue("table").value_or("");
--- a/tests/soak/RowStoreStandin.h
+++ b/tests/soak/RowStoreStandin.h
@@ -39,6 +39,8 @@
   void SetMaxRowsPerFeed(std::size_t aRows) { m_maxRowsPerFeed = aRows; }
   /// Longest value that a row may have; transactions with a longer one get status 400.
   void SetMaxRowBytes(std::size_t aBytes) { m_maxRowBytes = aBytes; }
+  /// Reads of rows are answered as over a link of this speed, in bytes per second; 0 sets no limit.
+  void SetReadSpeed(std::size_t aBytesPerSecond) { m_readSpeed = aBytesPerSecond; }
   /// aOnRead: called with the table before each read of rows.
   void SetOnRead(std::function<void(const std::string&)> aOnRead) { m_onRead = std::move(aOnRead); }
   /// Transactions that write a row with this key are refused for good.
@@ -89,6 +91,7 @@
   HttpResponse Commit(const std::string& aBody);
   bool HasRefusedRow(const Json& aTransaction) const;
   HttpResponse Read(const HttpRequest& aRequest) const;
+  void SendAtReadSpeed(const std::shared_ptr<StandinExchange>& aExchange, HttpResponse aResponse);
   HttpResponse ListPartitions(const HttpRequest& aRequest) const;
   void ReadFeed(const std::shared_ptr<StandinExchange>& aExchange);
   /// Sends a response if there are changes or aMustRespond is set. Returns whether a response was
@@ -105,6 +108,7 @@
   std::size_t m_maxReadsPerSecond = 0;
   std::size_t m_maxRowsPerFeed = 0;
   std::size_t m_maxRowBytes = 65'536;
+  std::size_t m_readSpeed = 0;
   std::string m_refusedKey;
   std::function<void(const std::string&)> m_onRead = [](const std::string&) {};
   std::size_t m_maxListedPartitions = 1'000;
