Node: read a pool's tables in pages that a slow link carries in time

Callers saw long-running units end and none start again for 10 s after rolling restarts: the new owner read the pool's jobs in one page of up to 1 MB, which took longer than the time-out of 2 s over a link of 10 Mbit/s, and each attempt started again (pool-read-failed at 37.7, 39.9, 42.1 and 44.2 s, pool-loaded at 47.9 s). The transfers also kept the node's other calls waiting.

A page has at most 100 rows, and a quarter of that after each failed read.

--- a/src/node/PartitionReader.cpp
+++ b/src/node/PartitionReader.cpp
@@ -1,5 +1,7 @@
 #include "node/PartitionReader.h"
 
+#include <algorithm>
+
 #include "mustardtray/process/Log.h"
 
 namespace mustardtray::node {
@@ -8,6 +10,11 @@
 
 constexpr Millis kReadTimeout{ 2'000 };
 constexpr Micros kReadRetryDelay{ 150'000 };
+/// Rows in a page: a link of 10 Mbit/s carries them within a small part of the time-out, beside the
+/// node's other calls.
+constexpr std::size_t kPageRows = 100;
+/// After a failed read, which may have been too slow, the next page has this part of the rows.
+constexpr std::size_t kPageDivisor = 4;
 
 } // namespace
 
@@ -24,16 +31,17 @@
                                 RowsCallback aOnRows,
                                 std::function<void()> aDone)
 {
-  ReadPage(m_reads.insert(m_reads.end(),
-                          { aTable, "", "", std::move(aOnRows), std::move(aDone), {}, {} }));
+  ReadPage(m_reads.insert(
+    m_reads.end(), { aTable, "", "", std::move(aOnRows), std::move(aDone), {}, {}, kPageRows }));
 }
 
 void PartitionReader::ReadValue(const std::string& aTable,
                                 const std::string& aKey,
                                 RowsCallback aOnRows)
 {
-  ReadPage(m_reads.insert(m_reads.end(),
-                          { aTable, aKey, EndOfParts(aKey), std::move(aOnRows), [] {}, {}, {} }));
+  ReadPage(m_reads.insert(
+    m_reads.end(),
+    { aTable, aKey, EndOfParts(aKey), std::move(aOnRows), [] {}, {}, {}, kPageRows }));
 }
 
 void PartitionReader::ReadPage(ReadIterator aRead)
@@ -46,7 +54,8 @@
       if (!alive.expired()) {
         OnPage(aRead, std::move(aPage));
       }
-    });
+    },
+    aRead->m_pageRows);
 }
 
 void PartitionReader::OnPage(ReadIterator aRead, Result<platform::RowPage> aPage)
@@ -59,8 +68,11 @@
         m_partition,
         "table",
         aRead->m_table,
+        "rows",
+        aRead->m_pageRows,
         "error",
         aPage.error().Text());
+    aRead->m_pageRows = std::max<std::size_t>(1, aRead->m_pageRows / kPageDivisor);
     aRead->m_retryTimer =
       m_context.m_timers.After(kReadRetryDelay, [this, aRead] { ReadPage(aRead); });
     return;
--- a/src/node/PartitionReader.h
+++ b/src/node/PartitionReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Reads tables of one partition of the store page by page, and repeats reads that fail.
+/// Reads tables of one partition of the store page by page, and repeats reads that fail with
+/// smaller pages.
 
 #include <functional>
 #include <list>
@@ -38,6 +39,7 @@
     std::function<void()> m_done;
     RowJoiner m_joiner;
     TimerHandle m_retryTimer;
+    std::size_t m_pageRows = 0; ///< Most rows of the next page.
   };
   using ReadIterator = std::list<PendingRead>::iterator;
 
