--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -274,7 +274,12 @@
                                         TimePoint aNow);
   /// Called when another unit has been given up for a crash that was counted at the suspect.
   void ExplainCrash(const CrashSuspect& aSuspect);
-  static bool IsDeadlyUnit(const Job& aJob, const UnitId& aId, const CrashCounts& aCounts);
+  static bool IsDeadlyUnit(const StepSpec& aStep, const CrashCounts& aCounts);
+  /// aId: of a known job.
+  const StepSpec& StepOf(const UnitId& aId) const
+  {
+    return m_jobs.at(aId.m_job)->m_record.m_spec.m_steps[aId.m_step];
+  }
   /// Whether the unit gets no more starts, because it has failed too often or crashes its minions.
   static bool IsGivenUp(const QueuedStep& aQueued, std::uint32_t aIndex);
   /// Whether the unit has to start.
--- a/src/job/CrashHistory.cpp
+++ b/src/job/CrashHistory.cpp
@@ -47,10 +47,10 @@
 constexpr double kDeadlyRate = 1.0;
 /// A minion that crashes has answered within this time: the interval between its calls.
 constexpr Millis kMaxCrashDelay{ 1'000 };
-/// Evidence, in decibans, that is enough to give a long-running unit up: the crashes would be due
-/// to chance in one of 10,000 cases...
-constexpr std::uint32_t kDeadlyEvidence = 40;
-/// ...or in one of 1,000 when there have been kMaxCrashes of them.
+/// Evidence, in decibans, that is enough to give a long-running unit up: the unit explains its
+/// crashes 10,000 times better than other causes do...
+constexpr int kDeadlyEvidence = 40;
+/// ...or 1,000 times when there have been kMaxCrashes of them.
 constexpr int kDeadlyEvidenceOfMany = 30;
 
 double ToSeconds(Millis aTime)
@@ -201,13 +201,12 @@
   const double ranFor = ToSeconds(aSuspect.m_ranFor + kMaxCrashDelay / 2);
   const double logRatio = std::log10(kDeadlyRate / accidentalRate) -
                           (kDeadlyRate - accidentalRate) * ranFor / std::log(10.0);
-  const double decibans = 10.0 * logRatio;
-  if (decibans > 0 && aSuspect.m_isUnlikely) {
-    return 0;
+  double decibans = 10.0 * logRatio;
+  if (decibans > 0) {
+    const auto suspects = static_cast<double>(std::max<std::size_t>(aSuspect.m_likely, 1));
+    decibans = aSuspect.m_isUnlikely ? 0 : decibans / suspects;
   }
-  return static_cast<int>(std::lround(
-    decibans > 0 ? decibans / static_cast<double>(std::max<std::size_t>(aSuspect.m_likely, 1))
-                 : decibans));
+  return static_cast<int>(std::lround(decibans));
 }
 
 bool CrashHistory::IsCoincident(const LostRuns& aLost) const
--- a/src/job/PoolSchedulerCrashes.cpp
+++ b/src/job/PoolSchedulerCrashes.cpp
@@ -92,7 +92,7 @@
     CrashNotice notice;
     for (const CrashSuspect& suspect : crash.m_suspects) {
       const auto counts = CountCrash(crash, suspect, aNow);
-      if (counts && IsDeadlyUnit(*m_jobs.at(suspect.m_unit.m_job), suspect.m_unit, *counts)) {
+      if (counts && IsDeadlyUnit(StepOf(suspect.m_unit), *counts)) {
         notice.m_deadlyUnits.push_back(suspect.m_unit.Text());
       } else if (counts && NeedsIsolation(*counts, {})) {
         notice.m_isolatedUnits.push_back(suspect.m_unit.Text());
@@ -115,7 +115,7 @@
   }
   unit->m_lastCrashedRun = aSuspect.m_run;
   AddCrash(unit->m_crashes, aCrash, aSuspect);
-  if (job->m_record.m_spec.m_steps[aSuspect.m_unit.m_step].m_isLongRunning) {
+  if (StepOf(aSuspect.m_unit).m_isLongRunning) {
     const int evidence = m_crashHistory.EvidenceOf(aCrash, aSuspect, m_minions.size(), aNow);
     unit->m_crashes.m_evidence = std::max(unit->m_crashes.m_evidence + evidence, 0);
   }
@@ -126,7 +126,7 @@
     // As with failures: a count that is lost in a takeover would allow one start too many.
     unit->m_failedRevision = job->m_revision;
   }
-  if (IsDeadlyUnit(*job, aSuspect.m_unit, counts)) {
+  if (IsDeadlyUnit(StepOf(aSuspect.m_unit), counts)) {
     FailJobUnlessInUse(*job, aNow);
     for (const CrashSuspect& other : m_crashHistory.OnGivenUp(aSuspect.m_unit)) {
       ExplainCrash(other);
@@ -145,21 +145,19 @@
   }
 }
 
-bool PoolScheduler::IsDeadlyUnit(const Job& aJob, const UnitId& aId, const CrashCounts& aCounts)
+bool PoolScheduler::IsDeadlyUnit(const StepSpec& aStep, const CrashCounts& aCounts)
 {
-  return aJob.m_record.m_spec.m_steps[aId.m_step].m_isLongRunning ? IsDeadlyLongRunning(aCounts)
-                                                                  : IsDeadly(aCounts);
+  return aStep.m_isLongRunning ? IsDeadlyLongRunning(aCounts) : IsDeadly(aCounts);
 }
 
 bool PoolScheduler::IsGivenUp(const QueuedStep& aQueued, std::uint32_t aIndex)
 {
-  const Job& job = *aQueued.m_job;
-  const UnitId id{ job.m_record.m_id, aQueued.m_occurrence, aQueued.m_step, aIndex };
-  const UnitId counted = CountedUnit(job, id);
-  const Unit& unit = aQueued.State().m_units[counted.m_index];
-  const std::uint32_t maxAttempts = std::max(1U, job.m_record.m_queuePolicy.m_maxAttempts);
-  return (!aQueued.Spec().m_isLongRunning && unit.m_failures >= maxAttempts) ||
-         (unit.m_crashes != CrashCounts{} && IsDeadlyUnit(job, counted, unit.m_crashes));
+  const StepSpec& spec = aQueued.Spec();
+  const Unit& unit = aQueued.State().m_units[spec.m_isGang ? 0 : aIndex];
+  const std::uint32_t maxAttempts = aQueued.m_job->m_record.m_queuePolicy.m_maxAttempts;
+  const bool hasFailedTooOften =
+    !spec.m_isLongRunning && unit.m_failures > 0 && unit.m_failures >= maxAttempts;
+  return hasFailedTooOften || (unit.m_crashes.m_all > 0 && IsDeadlyUnit(spec, unit.m_crashes));
 }
 
 bool PoolScheduler::IsWaiting(const QueuedStep& aQueued, std::uint32_t aIndex)
