Node: let pages of a pool's tables grow again after refused reads

Cause: each failed read divided the page by four and nothing undid it, so after four refusals within half a second a new owner read its pool's jobs one by one.

Change: after a read within half of the time-out the page doubles, up to 100 rows. A page that timed out does not come back to its size at once, since one of half the size that takes longer than half of the time-out stays as it is.

--- a/src/node/PartitionReader.cpp
+++ b/src/node/PartitionReader.cpp
@@ -10,11 +10,12 @@
 
 constexpr Millis kReadTimeout{ 2'000 };
 constexpr Micros kReadRetryDelay{ 150'000 };
-/// Rows in a page: a link of 10 Mbit/s carries them within a small part of the time-out, beside the
-/// node's other calls.
+/// Most rows in a page, so that a transfer leaves room for the node's other calls.
 constexpr std::size_t kPageRows = 100;
 /// After a failed read, which may have been too slow, the next page has this part of the rows.
 constexpr std::size_t kPageDivisor = 4;
+/// After a read within half of the time-out, one of this many times the rows should not exceed it.
+constexpr std::size_t kPageGrowth = 2;
 
 } // namespace
 
@@ -32,7 +33,8 @@
                                 std::function<void()> aDone)
 {
   ReadPage(m_reads.insert(
-    m_reads.end(), { aTable, "", "", std::move(aOnRows), std::move(aDone), {}, {}, kPageRows }));
+    m_reads.end(),
+    { aTable, "", "", std::move(aOnRows), std::move(aDone), {}, {}, kPageRows, {} }));
 }
 
 void PartitionReader::ReadValue(const std::string& aTable,
@@ -41,11 +43,12 @@
 {
   ReadPage(m_reads.insert(
     m_reads.end(),
-    { aTable, aKey, EndOfParts(aKey), std::move(aOnRows), [] {}, {}, {}, kPageRows }));
+    { aTable, aKey, EndOfParts(aKey), std::move(aOnRows), [] {}, {}, {}, kPageRows, {} }));
 }
 
 void PartitionReader::ReadPage(ReadIterator aRead)
 {
+  aRead->m_sentAt = LeaseClockNow();
   m_context.m_store.Read(
     { aRead->m_table, m_partition, aRead->m_from },
     aRead->m_until,
@@ -77,6 +80,9 @@
       m_context.m_timers.After(kReadRetryDelay, [this, aRead] { ReadPage(aRead); });
     return;
   }
+  if (LeaseClockNow() - aRead->m_sentAt <= kReadTimeout / kPageGrowth) {
+    aRead->m_pageRows = std::min(kPageRows, aRead->m_pageRows * kPageGrowth);
+  }
   platform::RowPage& page = aPage.value();
   const std::string next = page.m_rows.empty() ? "" : page.m_rows.back().m_rowId.m_key + '\0';
   m_writer.OnRowsRead(page.m_rows);
--- a/src/node/PartitionReader.h
+++ b/src/node/PartitionReader.h
@@ -40,6 +40,7 @@
     RowJoiner m_joiner;
     TimerHandle m_retryTimer;
     std::size_t m_pageRows = 0; ///< Most rows of the next page.
+    TimePoint m_sentAt{};       ///< When the latest call was sent.
   };
   using ReadIterator = std::list<PendingRead>::iterator;
 
--- a/tests/node/PartitionReaderTest.cpp
+++ b/tests/node/PartitionReaderTest.cpp
@@ -59,3 +59,35 @@
   CHECK(keys.size() == kRows);
   CHECK(std::set<std::string>(keys.begin(), keys.end()).size() == kRows);
 }
+
+// Guards against LOST: after a short outage, a new owner read its pool's jobs one by one.
+TEST_CASE("pages of a table grow again after reads that the store refused")
+{
+  constexpr std::size_t kMaxReads = 20;
+  asio::io_context io;
+  TimerService timers(io);
+  soak::RowStoreStandin store(io, timers);
+  NodeFixture node(io, timers, MakeSettings(store.Port()));
+  PoolBatchWriter writer(node.m_context, kPool, 0, [] {});
+  for (std::size_t i = 0; i < kRows; ++i) {
+    store.PutWithoutHistory(kJobTable, kPool, fmt::format("{:04}", i), std::string(kRowBytes, 'x'));
+  }
+  std::size_t reads = 0;
+  store.SetOnRead([&](const std::string&) { ++reads; });
+  store.SetFault(soak::StoreFault::Busy);
+  const TimerHandle outage =
+    timers.After(Millis(1'500), [&] { store.SetFault(soak::StoreFault::None); });
+  PartitionReader reader(node.m_context, kPool, writer);
+  std::size_t rows = 0;
+  bool isDone = false;
+  reader.ReadTable(
+    kJobTable,
+    [&](std::vector<platform::Row>& aRows) { rows += aRows.size(); },
+    [&] { isDone = true; });
+  for (const TimePoint end = MonotonicNow() + kMaxLoadTime; !isDone && MonotonicNow() < end;) {
+    io.run_for(Millis(20));
+  }
+  CHECK(isDone);
+  CHECK(rows == kRows);
+  CHECK(reads <= kMaxReads);
+}
