--- a/src/job/CrashHistory.cpp
+++ b/src/job/CrashHistory.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kCoincidentMinions = 2;
 /// Time until the restarts of minions that crashed together have been seen.
 constexpr Millis kSettleTime{ 800 };
+/// Restarts that were seen further apart do not count as coincident, whatever the machines' clocks
+/// say.
+constexpr Millis kMaxCoincidentDelay{ 2 * kSettleTime };
 /// Lost runs are remembered for this time.
 constexpr Millis kMaxLossAge{ 30'000 };
 /// Longest time for which a start waits for a loss to be resolved: a unit that does nothing wrong
@@ -40,7 +43,8 @@
 constexpr Millis kRestartRateTime{ 10'000 };
 /// Limits the memory for restarts.
 constexpr std::size_t kMaxRestarts = 1'000;
-/// Least rate of such restarts, per minion and second: fewer cannot be told from none in that time.
+/// Least rate that is assumed for them, per minion and second, since few are seen in so short a
+/// time.
 constexpr double kMinRestartRate = 0.05;
 /// Rate at which a unit that crashes its minions does so, per second of a run: it does soon after
 /// its start.
@@ -173,7 +177,7 @@
   std::set<std::string_view> others;
   for (const Restart& restart : m_restarts) {
     if (restart.m_minion != aMinion &&
-        m_restarts.back().m_confirmedAt - restart.m_confirmedAt <= 2 * kSettleTime &&
+        m_restarts.back().m_confirmedAt - restart.m_confirmedAt <= kMaxCoincidentDelay &&
         std::abs(restart.m_restartedAtMs - aRestartedAtMs) <= kCoincidence.count()) {
       others.insert(restart.m_minion);
     }
