--- a/review/harness-2/Fleet.cpp
+++ b/review/harness-2/Fleet.cpp
@@ -95,18 +95,30 @@
 {
   Machine& machine = *m_machines.at(aMachine);
   m_record.Add("TROUBLE minion {} crashes, back in {} ms", machine.m_id, aDuration.count());
-  machine.m_server->StopListening();
-  machine.m_server->CloseConnections(true);
-  machine.m_holds.clear();
-  while (!machine.m_life->m_runs.empty()) {
-    EndRun(machine, std::string(machine.m_life->m_runs.begin()->first), "lost", false);
-  }
-  machine.m_life.reset();
-  machine.m_expiry =
-    m_timers.After(kEntryExpiry, [this, id = machine.m_id] { m_store.Remove("servers", id); });
+  End(machine);
   machine.m_return = m_timers.After(aDuration, [this, &machine] { Begin(machine); });
 }
 
+void Fleet::Lose(const std::string& aMachine)
+{
+  Machine& machine = *m_machines.at(aMachine);
+  m_record.Add("TROUBLE minion {} is lost for good", machine.m_id);
+  End(machine);
+}
+
+void Fleet::End(Machine& aMachine)
+{
+  aMachine.m_server->StopListening();
+  aMachine.m_server->CloseConnections(true);
+  aMachine.m_holds.clear();
+  while (!aMachine.m_life->m_runs.empty()) {
+    EndRun(aMachine, std::string(aMachine.m_life->m_runs.begin()->first), "lost", false);
+  }
+  aMachine.m_life.reset();
+  aMachine.m_expiry =
+    m_timers.After(kEntryExpiry, [this, id = aMachine.m_id] { m_store.Remove("servers", id); });
+}
+
 std::int64_t Fleet::ClockMs(const Life& aLife)
 {
   return aLife.m_clockStartMs +
@@ -123,7 +135,7 @@
     Life& life = *machine->m_life;
     const bool hasLapsed = ClockMs(life) > life.m_leaseUntilMs;
     if (hasLapsed) {
-      for (End& end : life.m_ends) {
+      for (ListedEnd& end : life.m_ends) {
         end.m_seen->m_hasLapsed = true;
       }
     }
@@ -246,8 +258,10 @@
     return refuse("old");
   }
   // The spec of a scenario's job says what a unit needs and how it ends.
-  const Json spec = Json::parse(aBody.at("spec").get<std::string>());
-  std::int64_t used = spec.at("cpu").get<std::int64_t>();
+  const Json text = Json::parse(aBody.at("spec").get<std::string>(), nullptr, false);
+  const Json spec = text.is_object() ? text : Json::object();
+  const auto cpu = spec.value("cpu", std::int64_t{ 0 });
+  std::int64_t used = cpu;
   for (const auto& [name, run] : life.m_runs) {
     used += run.m_cpu;
   }
@@ -258,8 +272,8 @@
   m_runs.push_back({ unit, aMachine.m_spec.m_name, number, now, {}, {}, false, false });
   ActiveRun run;
   run.m_seen = &m_runs.back();
-  run.m_cpu = spec.at("cpu").get<std::int64_t>();
-  run.m_endsAt = now + Millis(spec.at("ms").get<Millis::rep>());
+  run.m_cpu = cpu;
+  run.m_endsAt = now + Millis(spec.value("ms", Millis::rep{ 200 }));
   run.m_fails = spec.value("fails", false);
   life.m_runs.emplace(unit, run);
   m_record.Add("run begun: {} run {} on {}", unit, number, aMachine.m_spec.m_name);
@@ -313,7 +327,7 @@
   }
   Json ended = Json::array();
   constexpr std::size_t kMaxListedEnds = 500;
-  for (const End& end : life.m_ends) {
+  for (const ListedEnd& end : life.m_ends) {
     if (ended.size() < kMaxListedEnds) {
       ended.push_back(
         { end.m_number, end.m_seen->m_unit, end.m_seen->m_run, end.m_seen->m_how, "" });
--- a/review/harness-2/Fleet.h
+++ b/review/harness-2/Fleet.h
@@ -52,6 +52,8 @@
   std::uint16_t CloudPort() const { return m_cloud.Port(); }
   /// Ends the minion at once; it is back under its ID after aDuration.
   void Crash(const std::string& aMachine, Millis aDuration);
+  /// Ends the minion at once, for good.
+  void Lose(const std::string& aMachine);
   const std::list<RunSeen>& Runs() const { return m_runs; }
   /// Runs of the unit, in the order of their begin.
   std::vector<const RunSeen*> RunsOf(const std::string& aUnit) const;
@@ -68,7 +70,7 @@
     TimePoint m_stopAt{};
     bool m_fails = false;
   };
-  struct End
+  struct ListedEnd
   {
     std::uint64_t m_number = 0;
     RunSeen* m_seen = nullptr;
@@ -87,7 +89,7 @@
     std::int64_t m_leaseUntilMs = 0;
     std::map<std::string, ActiveRun> m_runs;
     std::map<std::string, std::uint32_t> m_refused; ///< Runs up to this number are `old`.
-    std::deque<End> m_ends;
+    std::deque<ListedEnd> m_ends;
     std::uint64_t m_endCount = 0;
     std::uint64_t m_seq = 0;
   };
@@ -103,6 +105,7 @@
   };
 
   void Begin(Machine& aMachine);
+  void End(Machine& aMachine);
   void Register(Machine& aMachine);
   void Handle(Machine& aMachine, const std::shared_ptr<StandinExchange>& aExchange);
   HttpResponse Start(Machine& aMachine, const Json& aBody);
--- a/review/harness-2/Installation.cpp
+++ b/review/harness-2/Installation.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstring>
+#include <ctime>
 #include <fstream>
 #include <unistd.h>
 
@@ -22,6 +23,14 @@
 constexpr Millis kStartLimit{ 20'000 };
 constexpr Millis kRunStep{ 10 };
 constexpr const char* kHost = "review.example";
+constexpr Millis kAllowanceWindow{ 100 };
+constexpr Millis kAllowanceCheck{ 3 };
+constexpr Millis kMemoryCheck{ 50 };
+/// After a process has been killed for its memory.
+constexpr Millis kRestartDelay{ 1'000 };
+// Limits in the settings.
+constexpr double kCpuShare = 0.25;
+constexpr std::size_t kMemoryMb = 260;
 
 /// Whether the ports of a node are free at the address.
 bool IsFree(asio::io_context& aContext, const std::string& aIp)
@@ -39,6 +48,27 @@
   return true;
 }
 
+/// Processor time of a process in microseconds; 0 when it is not known.
+std::int64_t ProcessorTime(int aPid)
+{
+  clockid_t clock{};
+  timespec time{};
+  if (aPid == 0 || clock_getcpuclockid(aPid, &clock) != 0 || clock_gettime(clock, &time) != 0) {
+    return 0;
+  }
+  return std::int64_t{ time.tv_sec } * 1'000'000 + time.tv_nsec / 1'000;
+}
+
+/// Resident memory of a process in MB.
+std::size_t ResidentMb(int aPid)
+{
+  std::ifstream file(fmt::format("/proc/{}/statm", aPid));
+  std::size_t size = 0;
+  std::size_t resident = 0;
+  file >> size >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) >> 20;
+}
+
 } // namespace
 
 std::string Answer::State() const
@@ -139,8 +169,9 @@
        << "\nlisten.ready=" << ip << ":" << kReadyPort << "\nlisten.control=" << ip << ":"
        << kControlPort << "\ninternal_ports=" << kFirstPeerPort << "," << kLastPeerPort
        << "\nseeds=" << ip << ":" << kControlPort
-       << "\nbootstrap=true\nloss_counted=false\nlimits.cpu_share=0.25\nlimits.cores=1"
-          "\nlimits.memory_mb=260\nlimits.max_fds=1000\nlimits.link_mbps=1000.0\nlimits.disk_mb=0"
+       << "\nbootstrap=true\nloss_counted=false\nlimits.cpu_share=" << kCpuShare
+       << "\nlimits.memory_mb=" << kMemoryMb
+       << "\nlimits.cores=1\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0"
           "\ndiscovery=platform\nentry=vip\nheartbeat_ms=1500"
           "\ncontracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing"
           "\nfault_tolerance.machines=2\nfault_tolerance.zones=1\nfault_tolerance.regions=0"
@@ -273,6 +304,50 @@
   return HasEnded(process) && StartProcess(process).has_value();
 }
 
+void Installation::EnforceLimits()
+{
+  m_record.Add("each node has {} of a core and {} MB", kCpuShare, kMemoryMb);
+  m_allowanceTimer = m_timers.Every(kAllowanceCheck, 0, [this] { EnforceAllowances(); });
+  m_memoryTimer = m_timers.Every(kMemoryCheck, 0, [this] { EnforceMemory(); });
+}
+
+void Installation::EnforceAllowances()
+{
+  const TimePoint now = MonotonicNow();
+  const bool isNewWindow = now - m_windowBeganAt >= kAllowanceWindow;
+  m_windowBeganAt = isNewWindow ? now : m_windowBeganAt;
+  for (const auto& node : m_nodes) {
+    const int pid = node->m_process.m_pid;
+    const std::int64_t used = ProcessorTime(pid);
+    if (isNewWindow || used < node->m_usedAtWindow) {
+      node->m_usedAtWindow = used;
+    }
+    const auto allowance =
+      static_cast<std::int64_t>(kCpuShare * static_cast<double>(Micros(kAllowanceWindow).count()));
+    const bool mustStop = pid != 0 && used - node->m_usedAtWindow >= allowance;
+    if (pid != 0 && mustStop != node->m_isThrottled) {
+      kill(pid, mustStop ? SIGSTOP : SIGCONT);
+    }
+    node->m_isThrottled = mustStop;
+  }
+}
+
+void Installation::EnforceMemory()
+{
+  for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+    Node& node = *m_nodes[i];
+    const std::size_t used = node.m_process.m_pid != 0 ? ResidentMb(node.m_process.m_pid) : 0;
+    node.m_peakMemoryMb = std::max(node.m_peakMemoryMb, used);
+    if (used > kMemoryMb) {
+      ++m_memoryKills;
+      m_record.Add(
+        "platform: {} uses {} MB of {} and is killed", node.m_process.m_name, used, kMemoryMb);
+      KillProcess(node.m_process);
+      node.m_restart = m_timers.After(kRestartDelay, [this, i] { Restart(i); });
+    }
+  }
+}
+
 bool Installation::HasNodeEnded()
 {
   bool hasEnded = false;
--- a/review/harness-2/Installation.h
+++ b/review/harness-2/Installation.h
@@ -65,6 +65,14 @@
   void Kill(std::size_t aNode);
   /// Starts a node process that has ended, with the same settings.
   bool Restart(std::size_t aNode);
+  /// From now on each node has what its settings say. It gets a quarter of a core: it runs at full
+  /// speed until its allowance is used up, and then not at all for the rest of that tenth of a
+  /// second. A process that exceeds limits.memory_mb is killed and starts again.
+  void EnforceLimits();
+  /// Most memory that a node has used since then, in MB.
+  std::size_t PeakMemoryMb(std::size_t aNode) const { return m_nodes.at(aNode)->m_peakMemoryMb; }
+  /// Number of processes that were killed because they exceeded limits.memory_mb.
+  std::size_t MemoryKills() const { return m_memoryKills; }
   /// Returns whether a node process has ended by itself.
   bool HasNodeEnded();
 
@@ -77,9 +85,15 @@
   {
     LocalProcess m_process;
     std::string m_ip;
+    std::int64_t m_usedAtWindow = 0; ///< Processor time in microseconds.
+    bool m_isThrottled = false;
+    std::size_t m_peakMemoryMb = 0;
+    TimerHandle m_restart;
   };
 
   void AddNode(std::size_t aNumber);
+  void EnforceAllowances();
+  void EnforceMemory();
   bool IsReady(const Node& aNode);
   Answer Request(HttpCall aCall);
 
@@ -92,6 +106,10 @@
   std::unique_ptr<Fleet> m_fleet;
   std::vector<std::unique_ptr<Node>> m_nodes;
   std::uint64_t m_configVersion = 0;
+  TimerHandle m_allowanceTimer;
+  TimerHandle m_memoryTimer;
+  std::size_t m_memoryKills = 0;
+  TimePoint m_windowBeganAt{};
 };
 
 /// Body of a job with one step.
--- a/review/harness-2/Scenarios.h
+++ b/review/harness-2/Scenarios.h
@@ -17,4 +17,10 @@
 /// The only minion that may run a job crashes twice.
 int RunFlappingMinion(Installation& aInstallation, Record& aRecord, bool aHasTrouble);
 
+/// One of the two minions that may run a job is lost for good, in a service of sixty.
+int RunLostKind(Installation& aInstallation, Record& aRecord, bool aHasTrouble);
+/// All nodes are killed and start again, in a deployment that has served for some hours. With
+/// HISTORY=0 in the environment it has served nothing yet.
+int RunLongHistory(Installation& aInstallation, Record& aRecord, bool aHasTrouble);
+
 } // namespace mustardtray::review
--- a/review/harness-2/ScenariosMain.cpp
+++ b/review/harness-2/ScenariosMain.cpp
@@ -15,6 +15,8 @@
     { "foreign-entry", &RunForeignEntry },
     { "queue-move", &RunQueueMove },
     { "flapping-minion", &RunFlappingMinion },
+    { "long-history", &RunLongHistory },
+    { "lost-kind", &RunLostKind },
   };
   const auto scenario = aCount == 3 ? scenarios.find(aArguments[1]) : scenarios.end();
   if (scenario == scenarios.end()) {
