Review 2: case 6 with jobs that clients hand in

Clients hand 17,000 jobs in over the API; then the nodes get the processor and the memory of the site's smallest machines, and all are killed once.

--- a/review/harness-2/HistoryScenario.cpp
+++ b/review/harness-2/HistoryScenario.cpp
@@ -11,25 +11,30 @@
 
 const Route kRoute{ "r-first", "/q1/", "s-first", 3 };
 constexpr std::size_t kNodes = 3;
-/// Jobs that the queue has completed before: 6.3 a second, those of `booking-check`, for 8 hours.
-constexpr std::size_t kFormerJobs = 181'000;
+/// Jobs that clients have handed in before: 18.3 a second, those of `viaje-rapido`, for 15.5
+/// minutes.
+constexpr std::size_t kFormerJobs = 17'000;
+/// Within this time, and by so many clients.
+constexpr Millis kHistoryLimit{ 62'000 };
+constexpr std::size_t kClients = 96;
+constexpr std::size_t kSpecBytes = 3'900;
 constexpr Millis kSubmitPeriod{ 1'000 };
 /// Between the kill and the start of the processes, as in the days' closing faults.
 constexpr Millis kDownTime{ 1'300 };
-constexpr Millis kTrafficAfterFault{ 12'000 };
+/// bounds.recovery_s of the settings.
+constexpr Millis kTrafficAfterFault{ 15'000 };
 /// bounds.finish_s of the settings.
 constexpr Millis kFinishTime{ 14'000 };
 /// LOST: for so long a job has nothing running.
 constexpr Millis kIdleLimit{ 3'000 };
 constexpr std::uint64_t kFirstId = 0x5c0e7a2100000000;
-constexpr std::uint64_t kFirstFormerId = 0x7000000000000000;
 
 std::string Id(std::uint64_t aNumber)
 {
   return fmt::format("{:016x}", kFirstId + aNumber);
 }
 
-/// A job as the queue `booking-check` of wrob-lodz gets them: 2 steps of 6 units.
+/// A job like those of the quick queues: 2 steps of 6 units.
 std::string MakeBooking()
 {
   const Json spec{ { "ms", 300 }, { "cpu", 500 }, { "text", std::string(300, 'x') } };
@@ -39,20 +44,38 @@
   return Json{ { "spec", spec.dump() }, { "steps", { first, second } } }.dump();
 }
 
-/// Repeats the rows that the nodes wrote for a completed job, under other IDs.
-void RepeatRows(Installation& aInstallation, const std::string& aId, std::size_t aCount)
+/// Hands in the jobs of the history, and waits until they have ended. Returns how many were
+/// accepted.
+std::size_t Serve(Installation& aInstallation)
 {
-  soak::RowStoreStandin& store = aInstallation.Store();
-  const std::string job = store.Value("job", kRoute.m_service, aId);
-  const std::string progress = store.Value("progress", kRoute.m_service, aId);
-  for (std::size_t i = 0; i < aCount; ++i) {
+  // The longest spec that a job may have. What it says to the minion comes first.
+  const Json spec{ { "ms", 20 }, { "cpu", 100 }, { "text", std::string(kSpecBytes, 'x') } };
+  const Json step{ { "count", 1 }, { "cpu", 100 }, { "mem_mb", 16 }, { "estimate_ms", 20 } };
+  const std::string body = Json{ { "spec", spec.dump() }, { "steps", { step } } }.dump();
+  const TimePoint end = MonotonicNow() + kHistoryLimit;
+  std::uint64_t sent = 0;
+  std::size_t open = 0;
+  std::size_t accepted = 0;
+  std::function<void()> send = [&] {
+    ++sent;
+    ++open;
     // IDs of clients are spread over all values.
-    const std::string id = fmt::format("{:016x}", kFirstFormerId + i * 0x10001);
-    std::string repeated = job;
-    repeated.replace(repeated.find(aId), aId.size(), id);
-    store.PutWithoutHistory("job", kRoute.m_service, id, repeated);
-    store.PutWithoutHistory("progress", kRoute.m_service, id, progress);
+    const std::string id = fmt::format("{:016x}", sent * 0x9e3779b97f4a7c15);
+    aInstallation.CallLater(
+      sent % kNodes, "POST", kRoute.m_prefix + id, body, [&](const Answer& aAnswer) {
+        --open;
+        accepted += aAnswer.m_status == 200 ? 1 : 0;
+        if (accepted + open < kFormerJobs && MonotonicNow() < end) {
+          send();
+        }
+      });
+  };
+  for (std::size_t client = 0; client < kClients; ++client) {
+    send();
   }
+  aInstallation.RunUntil(kHistoryLimit + Millis(4'000), [&] { return open == 0; });
+  aInstallation.Run(Millis(1'000));
+  return accepted;
 }
 
 /// Whether a unit of the job runs, or has run since.
@@ -69,7 +92,7 @@
 int RunLongHistory(Installation& aInstallation, Record& aRecord, bool aHasTrouble)
 {
   const char* history = std::getenv("HISTORY");
-  const std::size_t formerJobs = history && std::string(history) == "0" ? 0 : kFormerJobs;
+  const bool hasHistory = !history || std::string(history) != "0";
   Fleet& minions = aInstallation.Minions();
   for (int i = 1; i <= 8; ++i) {
     minions.AddMachine({ fmt::format("m-{}", i), kRoute.m_service, { "a", "r1-1" }, 64'000 });
@@ -80,17 +103,20 @@
     return kCouldNotRun;
   }
   const std::string body = MakeBooking();
-  const std::string sample = Id(0);
-  if (aInstallation.Call(0, "POST", kRoute.m_prefix + sample, body).m_status != 200 ||
-      !aInstallation.RunUntil(Millis(8'000), [&] {
-        aInstallation.Run(Millis(200));
-        return aInstallation.Call(0, "GET", kRoute.m_prefix + sample).State() == "completed";
-      })) {
-    aRecord.Add("the first job did not end");
-    return kCouldNotRun;
+  if (hasHistory) {
+    aRecord.Add("{} clients hand in {} jobs", kClients, kFormerJobs);
+    aRecord.SetBrief(true);
+    const std::size_t former = Serve(aInstallation);
+    const std::list<RunSeen>& runs = minions.Runs();
+    const auto done = std::count_if(
+      runs.begin(), runs.end(), [](const RunSeen& aRun) { return aRun.m_how == "done"; });
+    aRecord.SetBrief(false);
+    aRecord.Add("{} jobs were accepted, {} units are done", former, done);
+    if (former < kFormerJobs) {
+      aRecord.Add("the jobs of the history took too long");
+      return kCouldNotRun;
+    }
   }
-  RepeatRows(aInstallation, sample, formerJobs);
-  aRecord.Add("the store has the rows of {} completed jobs", formerJobs + 1);
   aInstallation.EnforceLimits();
   aInstallation.Run(Millis(2'000));
   if (aHasTrouble) {
--- a/review/harness-2/Installation.cpp
+++ b/review/harness-2/Installation.cpp
@@ -28,9 +28,23 @@
 constexpr Millis kMemoryCheck{ 50 };
 /// After a process has been killed for its memory.
 constexpr Millis kRestartDelay{ 1'000 };
-// Limits in the settings.
-constexpr double kCpuShare = 0.25;
-constexpr std::size_t kMemoryMb = 260;
+constexpr const char* kWrobLodzBounds =
+  "bounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.catch_up_s=4\nbounds.drain_ms=2000\n"
+  "bounds.config_deadline_ms=2000\nbounds.max_skew_ms=5000\nbounds.recovery_s=12\n"
+  "bounds.hold_max_ms=6000\nbounds.gang_ms=3000\nbounds.cancel_ms=3000\nbounds.far_x=2\n"
+  "bounds.checkpoint_s=0.5\nbounds.restore_ms=250\nbounds.notice_ms=4500\nbounds.harm_ms=4000\n";
+constexpr const char* kRutachapinBounds =
+  "bounds.contact_ms=4000\nbounds.ack_ms=6000\nbounds.catch_up_s=6\nbounds.drain_ms=3000\n"
+  "bounds.config_deadline_ms=3000\nbounds.max_skew_ms=6000\nbounds.recovery_s=15\n"
+  "bounds.hold_max_ms=10000\nbounds.gang_ms=4000\nbounds.cancel_ms=4000\nbounds.far_x=3\n"
+  "bounds.checkpoint_s=2\nbounds.restore_ms=100\nbounds.notice_ms=5500\nbounds.harm_ms=4500\n";
+/// Bounds that both have.
+constexpr const char* kCommonBounds =
+  "bounds.seed_lag_s=3\nbounds.reuse_after_s=2\nbounds.grace_s=6\nbounds.loss_slack_ms=200\n"
+  "bounds.rollback_slack_ms=250\nbounds.stop_ms=200\nbounds.visible_ms=3000\nbounds.early_ms=250\n"
+  "bounds.finish_s=14\nbounds.status_s=120\nbounds.move_s=1.5\nbounds.maintenance_s=2\n"
+  "bounds.fencing_required=false\nbounds.lease_ms=3000\nbounds.thaw_slack_ms=300\n"
+  "bounds.pace_ms=100\n";
 
 /// Whether the ports of a node are free at the address.
 bool IsFree(asio::io_context& aContext, const std::string& aIp)
@@ -90,15 +104,26 @@
   return Json{ { "spec", spec.dump() }, { "steps", { step } } }.dump();
 }
 
-Installation::Installation(Record& aRecord, std::string aFolder)
+Installation::Installation(Record& aRecord, std::string aFolder, Site aSite)
   : m_record(aRecord)
   , m_folder(std::move(aFolder))
+  , m_site(aSite)
   , m_http(std::make_unique<HttpClient>(m_context))
   , m_store(std::make_unique<soak::RowStoreStandin>(m_context, m_timers))
   , m_fleet(std::make_unique<Fleet>(m_context, m_timers, *m_store, aRecord))
 {
 }
 
+double Installation::CpuShare() const
+{
+  return m_site == Site::WrobLodz ? 0.25 : 0.12;
+}
+
+std::size_t Installation::MemoryMb() const
+{
+  return m_site == Site::WrobLodz ? 260 : 160;
+}
+
 Installation::~Installation()
 {
   for (const auto& node : m_nodes) {
@@ -169,23 +194,14 @@
        << "\nlisten.ready=" << ip << ":" << kReadyPort << "\nlisten.control=" << ip << ":"
        << kControlPort << "\ninternal_ports=" << kFirstPeerPort << "," << kLastPeerPort
        << "\nseeds=" << ip << ":" << kControlPort
-       << "\nbootstrap=true\nloss_counted=false\nlimits.cpu_share=" << kCpuShare
-       << "\nlimits.memory_mb=" << kMemoryMb
+       << "\nbootstrap=true\nloss_counted=false\nlimits.cpu_share=" << CpuShare()
+       << "\nlimits.memory_mb=" << MemoryMb()
        << "\nlimits.cores=1\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0"
           "\ndiscovery=platform\nentry=vip\nheartbeat_ms=1500"
           "\ncontracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing"
-          "\nfault_tolerance.machines=2\nfault_tolerance.zones=1\nfault_tolerance.regions=0"
-          "\nbounds.seed_lag_s=3\nbounds.reuse_after_s=2\nbounds.contact_ms=3000"
-          "\nbounds.ack_ms=4000\nbounds.catch_up_s=4\nbounds.drain_ms=2000\nbounds.grace_s=6"
-          "\nbounds.loss_slack_ms=200\nbounds.config_deadline_ms=2000"
-          "\nbounds.rollback_slack_ms=250\nbounds.max_skew_ms=5000\nbounds.recovery_s=12"
-          "\nbounds.hold_max_ms=6000\nbounds.stop_ms=200\nbounds.gang_ms=3000"
-          "\nbounds.cancel_ms=3000\nbounds.visible_ms=3000\nbounds.early_ms=250"
-          "\nbounds.finish_s=14\nbounds.status_s=120\nbounds.far_x=2\nbounds.checkpoint_s=0.5"
-          "\nbounds.restore_ms=250\nbounds.notice_ms=4500\nbounds.move_s=1.5"
-          "\nbounds.maintenance_s=2\nbounds.fencing_required=false\nbounds.lease_ms=3000"
-          "\nbounds.thaw_slack_ms=300\nbounds.pace_ms=100\nbounds.harm_ms=4000\norders=call"
-          "\nplatform.form=table\nplatform.writes_per_s=600\nplatform.reads_per_s=2000"
+          "\nfault_tolerance.machines=2\nfault_tolerance.zones=1\nfault_tolerance.regions=0\n"
+       << kCommonBounds << (m_site == Site::WrobLodz ? kWrobLodzBounds : kRutachapinBounds)
+       << "orders=call\nplatform.form=table\nplatform.writes_per_s=600\nplatform.reads_per_s=2000"
           "\nplatform.tx_ms=5.0\nplatform.part_writes_s=200\nplatform.row_bytes=65536"
           "\nplatform.across=false\nplatform.history_s=20\ncloud_api.rate_per_s=64.0"
           "\ncloud_api.duties=\ncloud_api.duty_per_s=64.0"
@@ -240,10 +256,11 @@
   return *answer;
 }
 
-Answer Installation::Call(std::size_t aNode,
-                          const std::string& aMethod,
-                          const std::string& aPath,
-                          const std::string& aBody)
+void Installation::CallLater(std::size_t aNode,
+                             const std::string& aMethod,
+                             const std::string& aPath,
+                             const std::string& aBody,
+                             std::function<void(const Answer&)> aDone)
 {
   const Node& node = *m_nodes.at(aNode);
   HttpCall call;
@@ -254,14 +271,28 @@
                      { "Deadline-Ms", std::to_string(kDeadline.count()) } };
   call.m_body = aBody;
   call.m_timeout = kDeadline;
-  const Answer answer = Request(std::move(call));
-  m_record.Add("client: {} {} at {}: {} {}",
-               aMethod,
-               aPath,
-               node.m_process.m_name,
-               answer.m_status,
-               answer.m_body);
-  return answer;
+  m_http->Start(std::move(call),
+                [this,
+                 text = fmt::format("{} {} at {}", aMethod, aPath, node.m_process.m_name),
+                 done = std::move(aDone)](HttpCallResult aResult) {
+                  const Answer answer =
+                    aResult ? Answer{ aResult.value().m_status, aResult.value().m_body } : Answer{};
+                  m_record.Add("client: {}: {} {}", text, answer.m_status, answer.m_body);
+                  done(answer);
+                });
+}
+
+Answer Installation::Call(std::size_t aNode,
+                          const std::string& aMethod,
+                          const std::string& aPath,
+                          const std::string& aBody)
+{
+  std::optional<Answer> answer;
+  CallLater(aNode, aMethod, aPath, aBody, [&](const Answer& aAnswer) { answer = aAnswer; });
+  while (!answer) {
+    m_context.run_one();
+  }
+  return *answer;
 }
 
 void Installation::Run(Millis aDuration)
@@ -306,7 +337,7 @@
 
 void Installation::EnforceLimits()
 {
-  m_record.Add("each node has {} of a core and {} MB", kCpuShare, kMemoryMb);
+  m_record.Add("each node has {} of a core and {} MB", CpuShare(), MemoryMb());
   m_allowanceTimer = m_timers.Every(kAllowanceCheck, 0, [this] { EnforceAllowances(); });
   m_memoryTimer = m_timers.Every(kMemoryCheck, 0, [this] { EnforceMemory(); });
 }
@@ -323,7 +354,7 @@
       node->m_usedAtWindow = used;
     }
     const auto allowance =
-      static_cast<std::int64_t>(kCpuShare * static_cast<double>(Micros(kAllowanceWindow).count()));
+      static_cast<std::int64_t>(CpuShare() * static_cast<double>(Micros(kAllowanceWindow).count()));
     const bool mustStop = pid != 0 && used - node->m_usedAtWindow >= allowance;
     if (pid != 0 && mustStop != node->m_isThrottled) {
       kill(pid, mustStop ? SIGSTOP : SIGCONT);
@@ -338,10 +369,10 @@
     Node& node = *m_nodes[i];
     const std::size_t used = node.m_process.m_pid != 0 ? ResidentMb(node.m_process.m_pid) : 0;
     node.m_peakMemoryMb = std::max(node.m_peakMemoryMb, used);
-    if (used > kMemoryMb) {
+    if (used > MemoryMb()) {
       ++m_memoryKills;
       m_record.Add(
-        "platform: {} uses {} MB of {} and is killed", node.m_process.m_name, used, kMemoryMb);
+        "platform: {} uses {} MB of {} and is killed", node.m_process.m_name, used, MemoryMb());
       KillProcess(node.m_process);
       node.m_restart = m_timers.After(kRestartDelay, [this, i] { Restart(i); });
     }
--- a/review/harness-2/Installation.h
+++ b/review/harness-2/Installation.h
@@ -27,6 +27,13 @@
   std::uint32_t m_maxAttempts = 3;
 };
 
+/// Machines and bounds of a deployment, as in its sheet.
+enum class Site
+{
+  WrobLodz,
+  RutachapinGt, ///< With the smallest of its machines.
+};
+
 /// Answer of a node to a client; status 0 when there was none.
 struct Answer
 {
@@ -40,7 +47,7 @@
 class Installation
 {
 public:
-  Installation(Record& aRecord, std::string aFolder);
+  Installation(Record& aRecord, std::string aFolder, Site aSite);
   ~Installation();
   Installation(const Installation&) = delete;
   Installation& operator=(const Installation&) = delete;
@@ -56,6 +63,12 @@
               const std::string& aMethod,
               const std::string& aPath,
               const std::string& aBody = {});
+  /// Sends a client's request to a node. aDone gets the answer.
+  void CallLater(std::size_t aNode,
+                 const std::string& aMethod,
+                 const std::string& aPath,
+                 const std::string& aBody,
+                 std::function<void(const Answer&)> aDone);
   void Run(Millis aDuration);
   /// Returns whether the condition came true in time.
   bool RunUntil(Millis aLimit, const std::function<bool()>& aCondition);
@@ -65,9 +78,9 @@
   void Kill(std::size_t aNode);
   /// Starts a node process that has ended, with the same settings.
   bool Restart(std::size_t aNode);
-  /// From now on each node has what its settings say. It gets a quarter of a core: it runs at full
-  /// speed until its allowance is used up, and then not at all for the rest of that tenth of a
-  /// second. A process that exceeds limits.memory_mb is killed and starts again.
+  /// From now on each node has what its settings say. It gets limits.cpu_share of a core: it runs
+  /// at full speed until its allowance is used up, and then not at all for the rest of that tenth
+  /// of a second. A process that exceeds limits.memory_mb is killed and starts again.
   void EnforceLimits();
   /// Most memory that a node has used since then, in MB.
   std::size_t PeakMemoryMb(std::size_t aNode) const { return m_nodes.at(aNode)->m_peakMemoryMb; }
@@ -81,6 +94,8 @@
   TimerService& Timers() { return m_timers; }
 
 private:
+  double CpuShare() const;
+  std::size_t MemoryMb() const;
   struct Node
   {
     LocalProcess m_process;
@@ -99,6 +114,7 @@
 
   Record& m_record;
   std::string m_folder;
+  Site m_site;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
   std::unique_ptr<HttpClient> m_http;
--- a/review/harness-2/ScenariosMain.cpp
+++ b/review/harness-2/ScenariosMain.cpp
@@ -34,7 +34,9 @@
     Record record(aArguments[2]);
     record.Add("{}, {}", scenario->first, hasTrouble ? "with the disruption" : "without it");
     try {
-      Installation installation(record, folder);
+      const bool hasSmallMachines = scenario->first == "long-history";
+      Installation installation(
+        record, folder, hasSmallMachines ? Site::RutachapinGt : Site::WrobLodz);
       result = scenario->second(installation, record, hasTrouble);
       if (installation.HasNodeEnded()) {
         record.Add("a node process has ended by itself");
