--- a/review/harness-2/HistoryScenario.cpp
+++ b/review/harness-2/HistoryScenario.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t kClients = 96;
 constexpr std::size_t kSpecBytes = 3'900;
 constexpr Millis kSubmitPeriod{ 1'000 };
-/// Between the kill and the start of the processes, as in the days' closing faults.
-constexpr Millis kDownTime{ 1'300 };
+/// Between the kill and the start of the processes, as in the site's closing faults.
+constexpr Millis kDownTime{ 700 };
 /// bounds.recovery_s of the settings.
 constexpr Millis kTrafficAfterFault{ 15'000 };
 /// bounds.finish_s of the settings.
