--- a/include/mustardtray/job/Job.h
+++ b/include/mustardtray/job/Job.h
@@ -122,6 +122,14 @@
   JobSpec m_spec;
   WallTime m_acceptedAt{};
   std::uint32_t m_epoch = 0; ///< Pool takeovers before its acceptance; see kRunsPerEpoch.
+
+  // Moves between shards; see docs/design/job-moves.md.
+
+  /// Pool that is to run the job; empty when it is that of the job's shard.
+  std::string m_pool;
+  std::uint32_t m_moves = 0;        ///< How often the job has moved to another shard.
+  std::uint32_t m_formerEpochs = 0; ///< Blocks of run numbers that its former shards have used.
+  std::string m_progress;           ///< Stored progress at its latest move.
 };
 
 enum class JobState
--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -69,6 +69,9 @@
                        std::string_view aProgress,
                        TimePoint aNow,
                        WallTime aWallNow);
+  /// Adds a job that has come from another shard, or that stays here after all, with the progress
+  /// in its record. None of its units runs. Fails as LoadJob().
+  Result<void> AddMovedJob(JobRecord aRecord, TimePoint aNow, WallTime aWallNow);
   /// Returns whether the job should be accepted, without changing any state. aSinceFirstAttempt:
   /// time since the caller's first attempt.
   AdmissionDecision EvaluateAdmission(const JobRecord& aRecord,
@@ -225,6 +228,11 @@
   };
 
   void InitializeJob(Job& aJob, TimePoint aNow);
+  Result<void> InsertJob(JobRecord aRecord,
+                         std::string_view aProgress,
+                         bool aIsInherited,
+                         TimePoint aNow,
+                         WallTime aWallNow);
   void BeginDueOccurrences(Job& aJob, TimePoint aNow, WallTime aWallNow);
   /// Assigns runs to the units of an occurrence that minions listed before it began.
   void AssignReportedRuns(Job& aJob, std::uint32_t aOccurrence);
--- a/src/job/Job.cpp
+++ b/src/job/Job.cpp
@@ -149,6 +149,14 @@
   if (aRecord.m_queuePolicy.m_needsAdvice) {
     out["advice"] = true;
   }
+  if (!aRecord.m_pool.empty()) {
+    out["pool"] = aRecord.m_pool;
+  }
+  if (aRecord.m_moves > 0) {
+    out["moves"] = aRecord.m_moves;
+    out["former-epochs"] = aRecord.m_formerEpochs;
+    out["progress"] = aRecord.m_progress;
+  }
   if (aRecord.m_spec.m_repeatCount > 0) {
     out["repeat"] = aRecord.m_spec.m_repeatCount;
     out["start"] = aRecord.m_spec.m_startAt.time_since_epoch().count();
@@ -172,6 +180,10 @@
     record.m_queuePolicy.m_needsAdvice = in.value("advice", false);
     record.m_acceptedAt = WallTime(Millis(in.at("at").get<Millis::rep>()));
     record.m_epoch = in.at("epoch").get<std::uint32_t>();
+    record.m_pool = in.value("pool", std::string{});
+    record.m_moves = in.value("moves", std::uint32_t{ 0 });
+    record.m_formerEpochs = in.value("former-epochs", std::uint32_t{ 0 });
+    record.m_progress = in.value("progress", std::string{});
     record.m_spec.m_payload = in.at("payload").get<std::string>();
     record.m_spec.m_repeatCount = in.value("repeat", std::uint32_t{ 0 });
     record.m_spec.m_startAt = WallTime(Millis(in.value("start", Millis::rep{ 0 })));
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -67,7 +67,9 @@
 
 std::uint32_t PoolScheduler::NextRun(const Job& aJob, const Unit& aUnit) const
 {
-  const std::uint32_t first = (m_epoch - std::min(m_epoch, aJob.m_record.m_epoch)) * kRunsPerEpoch;
+  const std::uint32_t epochs =
+    aJob.m_record.m_formerEpochs + m_epoch - std::min(m_epoch, aJob.m_record.m_epoch);
+  const std::uint32_t first = epochs * kRunsPerEpoch;
   return std::max(aUnit.m_lastRun, first) + 1;
 }
 
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -42,10 +42,29 @@
                                     std::string_view aProgress,
                                     TimePoint aNow,
                                     WallTime aWallNow)
+{
+  const std::string atMove = std::move(aRecord.m_progress);
+  aRecord.m_progress.clear();
+  return InsertJob(
+    std::move(aRecord), aProgress.empty() ? atMove : aProgress, true, aNow, aWallNow);
+}
+
+Result<void> PoolScheduler::AddMovedJob(JobRecord aRecord, TimePoint aNow, WallTime aWallNow)
+{
+  const std::string progress = std::move(aRecord.m_progress);
+  aRecord.m_progress.clear();
+  return InsertJob(std::move(aRecord), progress, false, aNow, aWallNow);
+}
+
+Result<void> PoolScheduler::InsertJob(JobRecord aRecord,
+                                      std::string_view aProgress,
+                                      bool aIsInherited,
+                                      TimePoint aNow,
+                                      WallTime aWallNow)
 {
   auto job = std::make_unique<Job>();
   job->m_record = std::move(aRecord);
-  job->m_isInherited = true;
+  job->m_isInherited = aIsInherited;
   // The acceptance time is on the wall clock. A clock that is ahead must not put the arrival in the
   // future.
   const Millis age = std::max(Millis{ 0 }, aWallNow - job->m_record.m_acceptedAt);
--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -37,6 +37,7 @@
   , m_membership(aMembership)
   , m_localOwner(std::move(aLocalOwner))
   , m_accessGate(aContext, aRelay)
+  , m_queueDirectory(aContext)
 {
 }
 
@@ -78,7 +79,7 @@
       } else if (alive.expired() || m_isRefusing) {
         responder.Send(Unavailable("the node is stopping"));
       } else {
-        HandleFrom(aVerdict.m_caller, *request, responder);
+        HandleFrom(aVerdict.m_caller, request, responder);
       }
     });
 }
@@ -90,40 +91,62 @@
 }
 
 void JobGateway::HandleFrom(const job::Caller& aCaller,
-                            const HttpRequest& aRequest,
+                            const std::shared_ptr<const HttpRequest>& aRequest,
                             HttpResponder aResponder)
 {
   // Another configuration may have come into force while the key was being checked.
-  const job::QueueSpec* queue = FindQueue(aRequest);
+  const job::QueueSpec* queue = FindQueue(*aRequest);
   if (!queue) {
     aResponder.Send(JsonResponse(404, R"({"error":"no such queue"})"));
     return;
   }
-  if (!m_context.m_shards.Knows(queue->m_pool)) {
+  // The configuration says which pool runs new jobs; the home of the queue has all its jobs.
+  const std::string key = job::QueueKeyOf(*queue);
+  const job::QueueHome* home = m_context.m_queueHomes.Find(key);
+  if (!home && !m_context.m_shards.Knows(queue->m_pool)) {
+    // All nodes are starting: the numbers of shards and the homes are about to be written.
     aResponder.Send(Unavailable("the queue's pool is not known yet"));
     return;
   }
-  JobTarget target{ queue->m_pool, queue->m_queuePolicy.m_queue, {}, aCaller };
-  if (aRequest.m_path == queue->m_prefix) {
-    if (aRequest.m_method == "GET") {
+  if (!home || !m_context.m_shards.Knows(home->m_pool)) {
+    m_queueDirectory.Resolve(*queue,
+                             [this,
+                              aCaller,
+                              aRequest,
+                              key,
+                              responder = std::move(aResponder),
+                              alive = std::weak_ptr<int>(m_alive)] {
+                               const job::QueueHome* found =
+                                 alive.expired() ? nullptr : m_context.m_queueHomes.Find(key);
+                               if (found && m_context.m_shards.Knows(found->m_pool)) {
+                                 HandleFrom(aCaller, aRequest, responder);
+                               } else {
+                                 responder.Send(Unavailable("the queue's home is not known yet"));
+                               }
+                             });
+    return;
+  }
+  JobTarget target{ home->m_pool, home->m_queue, {}, aCaller };
+  if (aRequest->m_path == queue->m_prefix) {
+    if (aRequest->m_method == "GET") {
       SendWaitingCount(target, std::move(aResponder));
     } else {
       aResponder.Send(JsonResponse(405, R"({"error":"a queue can only be read"})"));
     }
     return;
   }
-  const auto id = platform::DecodeJobId(aRequest.m_path, queue->m_prefix);
+  const auto id = platform::DecodeJobId(aRequest->m_path, queue->m_prefix);
   if (!id) {
     aResponder.Send(JsonResponse(400, R"({"error":"a job's id has 16 hexadecimal digits"})"));
     return;
   }
   target.m_job = *id;
-  target.m_pool = m_context.m_shards.Of(queue->m_pool, *id);
-  if (aRequest.m_method == "POST") {
-    Submit(*queue, target, aRequest, std::move(aResponder));
-  } else if (aRequest.m_method == "GET") {
+  target.m_pool = m_context.m_shards.Of(home->m_pool, *id);
+  if (aRequest->m_method == "POST") {
+    Submit(*queue, *home, target, *aRequest, std::move(aResponder));
+  } else if (aRequest->m_method == "GET") {
     SendJobState(target, std::move(aResponder));
-  } else if (aRequest.m_method == "DELETE") {
+  } else if (aRequest->m_method == "DELETE") {
     Cancel(target, std::move(aResponder));
   } else {
     aResponder.Send(JsonResponse(405, R"({"error":"unknown method"})"));
@@ -133,6 +156,7 @@
 // Submission.
 
 void JobGateway::Submit(const job::QueueSpec& aQueue,
+                        const job::QueueHome& aHome,
                         const JobTarget& aTarget,
                         const HttpRequest& aRequest,
                         HttpResponder aResponder)
@@ -153,6 +177,8 @@
   record.m_id = aTarget.m_job;
   record.m_account = aTarget.m_caller.m_account;
   record.m_queuePolicy = aQueue.m_queuePolicy;
+  record.m_queuePolicy.m_queue = aHome.m_queue;
+  record.m_pool = aQueue.m_pool == aHome.m_pool ? std::string{} : aQueue.m_pool;
   record.m_spec = std::move(spec.value());
   record.m_acceptedAt = WallNow();
   if (!CanStore(record, aRequest.m_body.size())) {
@@ -261,6 +287,7 @@
   platform::Transaction& transaction = write->m_transaction;
   transaction.m_preconditions.push_back({ { kJobTable, aTarget.m_pool, aRecord.m_id }, 0 });
   transaction.m_preconditions.push_back({ { kInboxTable, aTarget.m_pool, aRecord.m_id }, 0 });
+  transaction.m_preconditions.push_back({ { kForwardTable, aTarget.m_pool, aRecord.m_id }, 0 });
   transaction.m_writes = SplitValue({ kInboxTable, aTarget.m_pool, aRecord.m_id },
                                     job::EncodeJobRecord(aRecord),
                                     MaxPartBytes(m_context.m_settings.m_maxRowBytes));
--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -16,6 +16,7 @@
 #include "node/NodeContext.h"
 #include "node/PeerMessages.h"
 #include "node/PoolOwner.h"
+#include "node/QueueDirectory.h"
 
 namespace mustardtray::node {
 
@@ -50,15 +51,17 @@
     std::string m_queue;
     std::string m_job;
     job::Caller m_caller;
+    int m_hops = 0; ///< Shards that have passed the request on.
   };
 
   const job::QueueSpec* FindQueue(const HttpRequest& aRequest) const;
   /// Handles a request whose API key has been checked.
   void HandleFrom(const job::Caller& aCaller,
-                  const HttpRequest& aRequest,
+                  const std::shared_ptr<const HttpRequest>& aRequest,
                   HttpResponder aResponder);
 
   void Submit(const job::QueueSpec& aQueue,
+              const job::QueueHome& aHome,
               const JobTarget& aTarget,
               const HttpRequest& aRequest,
               HttpResponder aResponder);
@@ -100,6 +103,18 @@
   void QueryOwner(const char* aPath,
                   const JobTarget& aTarget,
                   std::function<void(Result<JobQueryResult>)> aDone);
+  /// Returns the target of a request that has to go on to the shard to which the job has moved;
+  /// empty, with a response sent, when that cannot be followed.
+  std::optional<JobTarget> Forward(const JobTarget& aTarget,
+                                   const std::string& aShard,
+                                   const HttpResponder& aResponder) const;
+  /// Sums the waiting jobs over shards, and over those to which jobs have moved from there.
+  struct WaitingSum;
+  void AddWaitingOf(const std::string& aShard, const std::shared_ptr<WaitingSum>& aSum);
+  void OnWaitingOf(const std::string& aShard,
+                   const std::shared_ptr<WaitingSum>& aSum,
+                   std::optional<std::size_t> aWaiting,
+                   const std::set<std::string>& aForwardedTo);
   /// Rows that the store has of a job.
   struct JobRows
   {
@@ -107,18 +122,24 @@
     std::vector<platform::Row> m_rows;
   };
   /// Reads the job's rows from the tables in turn, until one has some. A job moves from the inbox
-  /// to the job table, so the latter has to be read after the former, too.
+  /// to the job table, so the latter has to be read after the former, too; from the job table it
+  /// moves to the forward table.
   void FindJobRows(const JobTarget& aTarget,
                    std::vector<std::string> aTables,
                    std::function<void(Result<JobRows>)> aDone);
-  /// Reads the job's state from the store; empty when the store does not have the job.
-  void ReadJobState(const JobTarget& aTarget,
-                    std::function<void(Result<std::optional<job::JobState>>)> aDone);
+  /// What the store has of a job.
+  struct StoredJob
+  {
+    std::optional<job::JobState> m_state; ///< Empty when the store does not have the job here.
+    std::string m_forwardedTo;            ///< Shard to which the job has moved.
+  };
+  void ReadJobState(const JobTarget& aTarget, std::function<void(Result<StoredJob>)> aDone);
 
   NodeContext& m_context;
   const Membership& m_membership;
   LocalOwner m_localOwner;
   AccessGate m_accessGate;
+  QueueDirectory m_queueDirectory;
   bool m_isStopping = false;
   bool m_isRefusing = false;
   /// Requests that came while the node was stopping, and whether they only read.
--- a/src/node/JobGatewayQueries.cpp
+++ b/src/node/JobGatewayQueries.cpp
@@ -15,6 +15,8 @@
 
 constexpr Millis kQueryTimeout{ 500 };
 constexpr Millis kStoreTimeout{ 1'000 };
+/// A job moves seldom; more hops than this mean that it is being moved meanwhile.
+constexpr int kMaxHops = 8;
 
 } // namespace
 
@@ -43,12 +45,30 @@
   });
 }
 
+std::optional<JobGateway::JobTarget> JobGateway::Forward(const JobTarget& aTarget,
+                                                         const std::string& aShard,
+                                                         const HttpResponder& aResponder) const
+{
+  if (aTarget.m_hops >= kMaxHops) {
+    aResponder.Send(Unavailable("the job is being moved"));
+    return std::nullopt;
+  }
+  JobTarget next = aTarget;
+  next.m_pool = aShard;
+  ++next.m_hops;
+  return next;
+}
+
 void JobGateway::SendJobState(const JobTarget& aTarget, HttpResponder aResponder)
 {
   if (PoolOwner* owner = m_localOwner(aTarget.m_pool); owner && owner->IsAuthoritative()) {
-    const auto state = owner->Scheduler().ReportedState(aTarget.m_job);
+    const auto state = owner->ReportedState(aTarget.m_job);
     if (owner->IsForbidden(aTarget.m_job, aTarget.m_caller)) {
       aResponder.Send(Forbidden());
+    } else if (const JobForward* forward = owner->FindForward(aTarget.m_job)) {
+      if (const auto next = Forward(aTarget, forward->m_shard, aResponder)) {
+        SendJobState(*next, std::move(aResponder));
+      }
     } else if (state) {
       aResponder.Send(JsonResponse(200, platform::EncodeJobState(*state)));
     } else {
@@ -69,6 +89,13 @@
         responder.Send(Forbidden());
         return;
       }
+      if (aQueryResult && !aQueryResult.value().m_forwardedTo.empty()) {
+        if (const auto next =
+              Forward(aTarget, *aQueryResult.value().m_forwardedTo.begin(), responder)) {
+          SendJobState(*next, responder);
+        }
+        return;
+      }
       if (aQueryResult && aQueryResult.value().m_isOwner && aQueryResult.value().m_isKnown) {
         responder.Send(JsonResponse(200, platform::EncodeJobState(aQueryResult.value().m_state)));
         return;
@@ -108,30 +135,44 @@
 }
 
 void JobGateway::ReadJobState(const JobTarget& aTarget,
-                              std::function<void(Result<std::optional<job::JobState>>)> aDone)
+                              std::function<void(Result<StoredJob>)> aDone)
 {
-  using JobStateResult = Result<std::optional<job::JobState>>;
   FindJobRows(
     aTarget,
-    { kProgressTable, kJobTable, kInboxTable, kJobTable },
-    [done = std::move(aDone)](Result<JobRows> aFound) {
+    { kProgressTable, kJobTable, kInboxTable, kJobTable, kForwardTable },
+    [done = std::move(aDone), job = aTarget.m_job](Result<JobRows> aFound) {
       if (!aFound) {
         done(aFound.error());
         return;
       }
       JobRows& found = aFound.value();
-      if (found.m_table != kProgressTable) {
-        done(found.m_rows.empty() ? JobStateResult(std::nullopt)
-                                  : std::optional(job::JobState::Queued));
+      if (found.m_table == kForwardTable) {
+        auto forward = DecodeJobForward(job, found.m_rows[0].m_value);
+        done(forward ? Result<StoredJob>(StoredJob{ {}, forward.value().m_shard })
+                     : Result<StoredJob>(forward.error()));
+        return;
+      }
+      if (found.m_rows.empty()) {
+        done(StoredJob{});
         return;
       }
       const std::vector<platform::Row> rows = RowJoiner().Add(std::move(found.m_rows));
+      if (found.m_table != kProgressTable) {
+        // A job that has moved here has the progress that it had before.
+        const auto record =
+          rows.empty() ? Result<job::JobRecord>(Error{}) : job::DecodeJobRecord(rows[0].m_value);
+        const auto state = record ? job::DecodeProgressState(record.value().m_progress)
+                                  : Result<job::JobState>(Error{});
+        done(StoredJob{ state ? state.value() : job::JobState::Queued, {} });
+        return;
+      }
       if (rows.empty()) {
         done(Error{ ErrorKind::Invalid, "read job", "", "parts of its progress are missing" });
         return;
       }
       auto state = job::DecodeProgressState(rows[0].m_value);
-      done(state ? JobStateResult(std::optional(state.value())) : JobStateResult(state.error()));
+      done(state ? Result<StoredJob>(StoredJob{ state.value(), {} })
+                 : Result<StoredJob>(state.error()));
     });
 }
 
@@ -147,42 +188,58 @@
     aThen();
     return;
   }
-  FindJobRows(aTarget,
-              { kJobTable, kInboxTable, kJobTable },
-              [=, alive = std::weak_ptr<int>(m_alive)](Result<JobRows> aFound) {
-                if (!aFound || alive.expired()) {
-                  aResponder.Send(onFailure);
-                  return;
-                }
-                if (aFound.value().m_rows.empty()) {
-                  aResponder.Send(onMissing);
-                  return;
-                }
-                const std::vector<platform::Row> rows =
-                  RowJoiner().Add(std::move(aFound.value().m_rows));
-                const auto record = rows.empty() ? Result<job::JobRecord>(Error{})
-                                                 : job::DecodeJobRecord(rows[0].m_value);
-                if (!record) {
-                  aResponder.Send(onFailure);
-                } else if (!aTarget.m_caller.MayAccess(record.value().m_account)) {
-                  aResponder.Send(Forbidden());
-                } else {
-                  aThen();
-                }
-              });
+  FindJobRows(
+    aTarget,
+    { kJobTable, kInboxTable, kJobTable, kForwardTable },
+    [=, alive = std::weak_ptr<int>(m_alive)](Result<JobRows> aFound) {
+      if (!aFound || alive.expired()) {
+        aResponder.Send(onFailure);
+        return;
+      }
+      if (aFound.value().m_rows.empty()) {
+        aResponder.Send(onMissing);
+        return;
+      }
+      if (aFound.value().m_table == kForwardTable) {
+        const auto forward = DecodeJobForward(aTarget.m_job, aFound.value().m_rows[0].m_value);
+        if (!forward) {
+          aResponder.Send(onFailure);
+        } else if (!aTarget.m_caller.MayAccess(forward.value().m_account)) {
+          aResponder.Send(Forbidden());
+        } else {
+          aThen();
+        }
+        return;
+      }
+      const std::vector<platform::Row> rows = RowJoiner().Add(std::move(aFound.value().m_rows));
+      const auto record =
+        rows.empty() ? Result<job::JobRecord>(Error{}) : job::DecodeJobRecord(rows[0].m_value);
+      if (!record) {
+        aResponder.Send(onFailure);
+      } else if (!aTarget.m_caller.MayAccess(record.value().m_account)) {
+        aResponder.Send(Forbidden());
+      } else {
+        aThen();
+      }
+    });
 }
 
 void JobGateway::SendJobStateFromStore(const JobTarget& aTarget, HttpResponder aResponder)
 {
-  const auto send = [aResponder](Result<std::optional<job::JobState>> aState) {
-    if (!aState) {
-      aResponder.Send(Unavailable("the job's state cannot be read"));
-    } else if (aState.value()) {
-      aResponder.Send(JsonResponse(200, platform::EncodeJobState(*aState.value())));
-    } else {
-      aResponder.Send(JobNotFound());
-    }
-  };
+  const auto send =
+    [this, aTarget, aResponder, alive = std::weak_ptr<int>(m_alive)](Result<StoredJob> aJob) {
+      if (!aJob || alive.expired()) {
+        aResponder.Send(Unavailable("the job's state cannot be read"));
+      } else if (!aJob.value().m_forwardedTo.empty()) {
+        if (const auto next = Forward(aTarget, aJob.value().m_forwardedTo, aResponder)) {
+          SendJobState(*next, aResponder);
+        }
+      } else if (aJob.value().m_state) {
+        aResponder.Send(JsonResponse(200, platform::EncodeJobState(*aJob.value().m_state)));
+      } else {
+        aResponder.Send(JobNotFound());
+      }
+    };
   RequireAccess(
     aTarget, aResponder, [this, aTarget, aResponder, send, alive = std::weak_ptr<int>(m_alive)] {
       if (alive.expired()) {
@@ -193,54 +250,84 @@
     });
 }
 
+struct JobGateway::WaitingSum
+{
+  std::string m_queue;
+  HttpResponder m_responder;
+  std::set<std::string> m_asked; ///< Shards.
+  std::size_t m_remainingShards = 0;
+  std::size_t m_waiting = 0;
+  bool m_isComplete = true;
+  std::string m_shards = {}; ///< Count of each shard, for the log; '-' when it is not known.
+};
+
 void JobGateway::SendWaitingCount(const JobTarget& aTarget, HttpResponder aResponder)
 {
-  // Sums over the shards and responds when each has answered.
-  struct Sum
-  {
-    std::size_t m_remainingShards = 0;
-    std::size_t m_waiting = 0;
-    bool m_isComplete = true;
-    std::string m_shards; ///< Count of each shard, for the log; '-' when it is not known.
-  };
   const std::vector<std::string> shards = m_context.m_shards.Names(aTarget.m_pool);
-  auto sum = std::make_shared<Sum>();
-  sum->m_remainingShards = shards.size();
-  const auto add = [sum, queue = aTarget.m_queue, responder = std::move(aResponder)](
-                     const std::string& aShard, std::optional<std::size_t> aWaiting) {
-    sum->m_waiting += aWaiting.value_or(0);
-    sum->m_isComplete = sum->m_isComplete && aWaiting;
-    sum->m_shards += fmt::format("{}{}:{}",
-                                 sum->m_shards.empty() ? "" : ",",
-                                 aShard,
-                                 aWaiting ? std::to_string(*aWaiting) : "-");
-    if (--sum->m_remainingShards == 0) {
-      Log(LogCategory::Placement,
-          LogLevel::Info,
-          "waiting-jobs",
-          "queue",
-          queue,
-          "waiting",
-          sum->m_waiting,
-          "shards",
-          sum->m_shards);
-      responder.Send(sum->m_isComplete ? JsonResponse(200, platform::EncodeWaiting(sum->m_waiting))
-                                       : Unavailable("an owner of the queue cannot be reached"));
-    }
-  };
+  const auto sum = std::make_shared<WaitingSum>(WaitingSum{
+    aTarget.m_queue, std::move(aResponder), { shards.begin(), shards.end() }, shards.size() });
   for (const std::string& shard : shards) {
-    if (PoolOwner* owner = m_localOwner(shard); owner && owner->IsAuthoritative()) {
-      add(shard, owner->WaitingJobs(aTarget.m_queue, LeaseClockNow()));
-      continue;
+    AddWaitingOf(shard, sum);
+  }
+}
+
+void JobGateway::AddWaitingOf(const std::string& aShard, const std::shared_ptr<WaitingSum>& aSum)
+{
+  if (PoolOwner* owner = m_localOwner(aShard); owner && owner->IsAuthoritative()) {
+    OnWaitingOf(aShard,
+                aSum,
+                owner->WaitingJobs(aSum->m_queue, LeaseClockNow()),
+                owner->ForwardShards(aSum->m_queue));
+    return;
+  }
+  QueryOwner(
+    kPeerWaitingPath,
+    { aShard, aSum->m_queue, {}, {} },
+    [this, aShard, aSum, alive = std::weak_ptr<int>(m_alive)](Result<JobQueryResult> aQueryResult) {
+      if (alive.expired()) {
+        aSum->m_responder.Send(Unavailable("stopping"));
+        return;
+      }
+      const bool isAnswered = aQueryResult && aQueryResult.value().m_isOwner;
+      OnWaitingOf(aShard,
+                  aSum,
+                  isAnswered ? std::optional(aQueryResult.value().m_waiting) : std::nullopt,
+                  isAnswered ? aQueryResult.value().m_forwardedTo : std::set<std::string>{});
+    });
+}
+
+void JobGateway::OnWaitingOf(const std::string& aShard,
+                             const std::shared_ptr<WaitingSum>& aSum,
+                             std::optional<std::size_t> aWaiting,
+                             const std::set<std::string>& aForwardedTo)
+{
+  aSum->m_waiting += aWaiting.value_or(0);
+  aSum->m_isComplete = aSum->m_isComplete && aWaiting;
+  aSum->m_shards += fmt::format("{}{}:{}",
+                                aSum->m_shards.empty() ? "" : ",",
+                                aShard,
+                                aWaiting ? std::to_string(*aWaiting) : "-");
+  for (const std::string& shard : aForwardedTo) {
+    if (aSum->m_asked.insert(shard).second) {
+      ++aSum->m_remainingShards;
+      AddWaitingOf(shard, aSum);
     }
-    QueryOwner(kPeerWaitingPath,
-               { shard, aTarget.m_queue, {}, {} },
-               [add, shard](Result<JobQueryResult> aQueryResult) {
-                 const bool isAnswered = aQueryResult && aQueryResult.value().m_isOwner;
-                 add(shard,
-                     isAnswered ? std::optional(aQueryResult.value().m_waiting) : std::nullopt);
-               });
   }
+  if (--aSum->m_remainingShards > 0) {
+    return;
+  }
+  Log(LogCategory::Placement,
+      LogLevel::Info,
+      "waiting-jobs",
+      "queue",
+      aSum->m_queue,
+      "waiting",
+      aSum->m_waiting,
+      "shards",
+      aSum->m_shards);
+  aSum->m_responder.Send(aSum->m_isComplete
+                           ? JsonResponse(200, platform::EncodeWaiting(aSum->m_waiting))
+                           : Unavailable("an owner of the queue cannot be reached"));
 }
 
 // Cancels.
@@ -258,6 +345,13 @@
         responder.Send(Forbidden());
         return;
       }
+      if (aQueryResult && !aQueryResult.value().m_forwardedTo.empty()) {
+        if (const auto next =
+              Forward(aTarget, *aQueryResult.value().m_forwardedTo.begin(), responder)) {
+          Cancel(*next, responder);
+        }
+        return;
+      }
       if (aQueryResult && aQueryResult.value().m_isOwner && aQueryResult.value().m_isKnown) {
         responder.Send(JsonResponse(200, "{}"));
         return;
@@ -275,6 +369,12 @@
       aResponder.Send(Forbidden());
       return;
     }
+    if (const JobForward* forward = owner->FindForward(aTarget.m_job)) {
+      if (const auto next = Forward(aTarget, forward->m_shard, aResponder)) {
+        Cancel(*next, aResponder);
+      }
+      return;
+    }
     owner->Cancel(aTarget.m_job, [onQueryResult](std::optional<bool> aIsKnown) {
       onQueryResult(JobQueryResult{ aIsKnown.has_value(), aIsKnown.value_or(false) });
     });
@@ -288,12 +388,18 @@
   ReadJobState(
     aTarget,
     [this, aTarget, responder = std::move(aResponder), alive = std::weak_ptr<int>(m_alive)](
-      Result<std::optional<job::JobState>> aState) {
-      if (!aState || alive.expired()) {
+      Result<StoredJob> aJob) {
+      if (!aJob || alive.expired()) {
         responder.Send(Unavailable("the cancel cannot be stored"));
         return;
       }
-      if (!aState.value()) {
+      if (!aJob.value().m_forwardedTo.empty()) {
+        if (const auto next = Forward(aTarget, aJob.value().m_forwardedTo, responder)) {
+          Cancel(*next, responder);
+        }
+        return;
+      }
+      if (!aJob.value().m_state) {
         responder.Send(JobNotFound());
         return;
       }
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -11,6 +11,7 @@
 #include "mustardtray/connection/HttpClient.h"
 #include "mustardtray/job/AccountKeys.h"
 #include "mustardtray/job/Deployment.h"
+#include "mustardtray/job/QueueHome.h"
 #include "mustardtray/job/Shards.h"
 #include "mustardtray/process/TimerService.h"
 #include "mustardtray/process/WorkMeter.h"
@@ -48,6 +49,14 @@
 /// minion.
 inline constexpr Millis kMaxRunLease{ 4'000 };
 
+/// Sends a request to the owner of a shard, on this node or another. Fails with
+/// ErrorKind::Unavailable when no owner is known.
+using ShardCall = std::function<void(const std::string& aShard,
+                                     const char* aPath,
+                                     std::string aBody,
+                                     Millis aTimeout,
+                                     std::function<void(Result<std::string>)> aDone)>;
+
 struct NodeContext
 {
   asio::io_context& m_io;
@@ -65,6 +74,8 @@
   job::AccountKeys m_accountKeys{}; ///< Of m_deployment.
   /// m_deployment was the newest configuration at this time of the lease clock.
   TimePoint m_configurationConfirmedAt{};
+  job::QueueHomes m_queueHomes{};
+  ShardCall m_callShard{};
 };
 
 /// Whether callers need API keys.
@@ -81,11 +92,16 @@
 }
 
 // Tables in the store that only nodes use. The partition of a row is the pool shard it belongs to.
-inline constexpr const char* kShardTable = "shards"; ///< Number of shards of each pool.
+/// Number of shards of each pool, and the homes of the queues in a partition of their own.
+inline constexpr const char* kShardTable = "shards";
+inline constexpr const char* kQueuePartition = "queues";
 inline constexpr const char* kNodeTable = "node";
 inline constexpr const char* kOwnerTable = "owner";
 inline constexpr const char* kJobTable = "job";
 inline constexpr const char* kProgressTable = "progress";
+/// Jobs that have moved to other shards; see JobForward. The name sorts before the job table, so
+/// that a job's rows are never removed in an earlier transaction than this row is written in.
+inline constexpr const char* kForwardTable = "forward";
 inline constexpr const char* kInboxTable = "inbox"; ///< Jobs and cancels for unreachable owners.
 /// Minions that may run work of a pool. The name sorts after the progress table, so that a minion's
 /// row never gets into an earlier transaction than the progress that belongs to its run ends.
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -118,6 +118,13 @@
                            [this] { DropAllPools(); } });
     m_configurationRelay = std::make_unique<ConfigurationRelay>(
       m_context, [this] { return m_membership->LivePeers(); }, [this] { OnNewConfiguration(); });
+    m_context.m_callShard = [this](const std::string& aShard,
+                                   const char* aPath,
+                                   std::string aBody,
+                                   Millis aTimeout,
+                                   std::function<void(Result<std::string>)> aDone) {
+      CallShard(aShard, aPath, std::move(aBody), aTimeout, std::move(aDone));
+    };
     const auto findOwner = [this](const std::string& aPool) { return FindOwner(aPool); };
     m_gateway =
       std::make_unique<JobGateway>(m_context, *m_membership, *m_configurationRelay, findOwner);
@@ -333,6 +340,27 @@
 
   // Peers.
 
+  void CallShard(const std::string& aShard,
+                 const char* aPath,
+                 std::string aBody,
+                 Millis aTimeout,
+                 std::function<void(Result<std::string>)> aDone)
+  {
+    const std::string address = m_membership->OwnerAddress(aShard);
+    if (address.empty()) {
+      aDone(Error{ ErrorKind::Unavailable, aPath, aShard, "no owner is known" });
+      return;
+    }
+    m_http.Start(MakePeerCall(address, aPath, std::move(aBody), aTimeout),
+                 [done = std::move(aDone)](HttpCallResult aResult) {
+                   if (!aResult) {
+                     done(aResult.error().m_error);
+                   } else {
+                     done(std::move(aResult.value().m_body));
+                   }
+                 });
+  }
+
   void SyncPool(const FleetSyncRequest& aRequest, std::function<void(Result<FleetReport>)> aDone)
   {
     const std::string& pool = aRequest.m_pool;
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -17,6 +17,10 @@
 {
   if (aRequest.m_path == kPeerSubmitPath) {
     HandleSubmit(aRequest, std::move(aResponder));
+  } else if (aRequest.m_path == kPeerAdmitPath) {
+    HandleAdmission(aRequest, aResponder);
+  } else if (aRequest.m_path == kPeerAdoptPath) {
+    HandleAdoption(aRequest, std::move(aResponder));
   } else if (aRequest.m_path == kPeerFleetPath) {
     HandleFleetSync(aRequest, aResponder);
   } else if (aRequest.m_path == kPeerConfigurationPath) {
@@ -47,6 +51,28 @@
                 });
 }
 
+void PeerHandler::HandleAdmission(const HttpRequest& aRequest, const HttpResponder& aResponder)
+{
+  const auto message = DecodeSubmitRequest(aRequest.m_body);
+  PoolOwner* owner = message ? m_localOwner(message.value().m_pool) : nullptr;
+  aResponder.Send(JsonResponse(
+    200, EncodeSubmitResult(owner ? owner->Admit(message.value().m_record) : SubmitResult{})));
+}
+
+void PeerHandler::HandleAdoption(const HttpRequest& aRequest, HttpResponder aResponder)
+{
+  auto message = DecodeAdoptRequest(aRequest.m_body);
+  PoolOwner* owner = message ? m_localOwner(message.value().m_shard) : nullptr;
+  if (!owner) {
+    aResponder.Send(JsonResponse(200, EncodeAdoptOutcome(AdoptOutcome::NotOwner)));
+    return;
+  }
+  owner->Adopt(std::move(message.value().m_record),
+               [responder = std::move(aResponder)](AdoptOutcome aOutcome) {
+                 responder.Send(JsonResponse(200, EncodeAdoptOutcome(aOutcome)));
+               });
+}
+
 void PeerHandler::HandleFleetSync(const HttpRequest& aRequest, const HttpResponder& aResponder)
 {
   const auto query = DecodeFleetSyncRequest(aRequest.m_body);
@@ -75,6 +101,11 @@
     aResponder.Send(JsonResponse(200, EncodeJobQueryResult(result)));
     return;
   }
+  if (const JobForward* forward = owner->FindForward(query.value().m_job)) {
+    result.m_forwardedTo = { forward->m_shard };
+    aResponder.Send(JsonResponse(200, EncodeJobQueryResult(result)));
+    return;
+  }
   if (aRequest.m_path == kPeerCancelPath) {
     owner->Cancel(query.value().m_job,
                   [responder = std::move(aResponder)](std::optional<bool> aIsKnown) {
@@ -89,8 +120,9 @@
     const auto waiting = owner->WaitingJobs(query.value().m_queue, LeaseClockNow());
     result.m_isOwner = waiting.has_value(); // A count that is not known is like that of no owner.
     result.m_waiting = waiting.value_or(0);
+    result.m_forwardedTo = owner->ForwardShards(query.value().m_queue);
   } else {
-    const auto state = owner->Scheduler().ReportedState(query.value().m_job);
+    const auto state = owner->ReportedState(query.value().m_job);
     result.m_isKnown = state.has_value();
     result.m_state = state.value_or(job::JobState::Queued);
   }
--- a/src/node/PeerHandler.h
+++ b/src/node/PeerHandler.h
@@ -22,6 +22,8 @@
 
 private:
   void HandleSubmit(const HttpRequest& aRequest, HttpResponder aResponder);
+  void HandleAdmission(const HttpRequest& aRequest, const HttpResponder& aResponder);
+  void HandleAdoption(const HttpRequest& aRequest, HttpResponder aResponder);
   void HandleFleetSync(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleJobQuery(const HttpRequest& aRequest, HttpResponder aResponder);
 
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -79,6 +79,33 @@
   return message;
 }
 
+std::string EncodeAdoptRequest(const AdoptRequest& aRequest)
+{
+  return EncodeSubmitRequest(aRequest.m_shard, aRequest.m_record);
+}
+
+Result<AdoptRequest> DecodeAdoptRequest(const std::string& aText)
+{
+  auto message = DecodeSubmitRequest(aText);
+  if (!message) {
+    return message.error();
+  }
+  return AdoptRequest{ std::move(message.value().m_pool), std::move(message.value().m_record) };
+}
+
+std::string EncodeAdoptOutcome(AdoptOutcome aOutcome)
+{
+  return json{ { "outcome", ToName(aOutcome) } }.dump();
+}
+
+Result<AdoptOutcome> DecodeAdoptOutcome(const std::string& aText)
+{
+  return Parse<AdoptOutcome>(aText, [](const json& aIn) {
+    return FromName<AdoptOutcome>(aIn.at("outcome").get<std::string>())
+      .value_or(AdoptOutcome::NotOwner);
+  });
+}
+
 std::string EncodeSubmitResult(const SubmitResult& aResult)
 {
   json out{ { "outcome", ToName(aResult.m_outcome) },
@@ -123,13 +150,15 @@
 
 std::string EncodeJobQueryResult(const JobQueryResult& aQueryResult)
 {
-  return json{
-    { "owner", aQueryResult.m_isOwner },
-    { "known", aQueryResult.m_isKnown },
-    { "state", ToName(aQueryResult.m_state) },
-    { "waiting", aQueryResult.m_waiting },
-    { "forbidden", aQueryResult.m_isForbidden }
-  }.dump();
+  json out{ { "owner", aQueryResult.m_isOwner },
+            { "known", aQueryResult.m_isKnown },
+            { "state", ToName(aQueryResult.m_state) },
+            { "waiting", aQueryResult.m_waiting },
+            { "forbidden", aQueryResult.m_isForbidden } };
+  if (!aQueryResult.m_forwardedTo.empty()) {
+    out["forwarded-to"] = aQueryResult.m_forwardedTo;
+  }
+  return out.dump();
 }
 
 Result<JobQueryResult> DecodeJobQueryResult(const std::string& aText)
@@ -143,6 +172,7 @@
     queryResult.m_waiting = aIn.at("waiting").get<std::size_t>();
     // A node of an earlier release does not send it.
     queryResult.m_isForbidden = aIn.value("forbidden", false);
+    queryResult.m_forwardedTo = aIn.value("forwarded-to", std::set<std::string>{});
     return queryResult;
   });
 }
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -13,6 +13,10 @@
 /// Path of the request for the configuration; see ConfigurationRelay.
 inline constexpr const char* kPeerConfigurationPath = "/peer/configuration";
 
+/// Paths of the requests between owners of shards; see PoolOwnerMoves.cpp.
+inline constexpr const char* kPeerAdmitPath = "/peer/admit";
+inline constexpr const char* kPeerAdoptPath = "/peer/adopt";
+
 /// Builds a call to another node. The timeout also limits connecting.
 HttpCall MakePeerCall(const std::string& aAddress,
                       const char* aPath,
@@ -30,6 +34,11 @@
 std::string EncodeSubmitResult(const SubmitResult& aResult);
 Result<SubmitResult> DecodeSubmitResult(const std::string& aText);
 
+std::string EncodeAdoptRequest(const AdoptRequest& aRequest);
+Result<AdoptRequest> DecodeAdoptRequest(const std::string& aText);
+std::string EncodeAdoptOutcome(AdoptOutcome aOutcome);
+Result<AdoptOutcome> DecodeAdoptOutcome(const std::string& aText);
+
 /// A query about one job, or about a queue when the job is empty.
 struct JobQuery
 {
@@ -49,6 +58,8 @@
   job::JobState m_state = job::JobState::Queued;
   std::size_t m_waiting = 0;
   bool m_isForbidden = false; ///< The job belongs to another account; nothing was done.
+  /// Shards to ask as well: that of the job if it has moved, or those of the queue's moved jobs.
+  std::set<std::string> m_forwardedTo = {};
 };
 std::string EncodeJobQueryResult(const JobQueryResult& aQueryResult);
 Result<JobQueryResult> DecodeJobQueryResult(const std::string& aText);
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -68,10 +68,77 @@
     pending->second.m_callbacks.push_back(std::move(aDone));
     return;
   }
-  if (m_scheduler.FindJob(id)) {
-    aDone({ SubmitOutcome::Accepted, Millis{ 0 } });
+  if (KnowsJob(id)) {
+    const bool isSame = QueueOf(id) == aRecord.m_queuePolicy.m_queue;
+    aDone(isSame ? SubmitResult{ SubmitOutcome::Accepted }
+                 : SubmitResult{
+                     SubmitOutcome::Invalid, Millis{ 0 }, "a job of another queue has this id" });
     return;
   }
+  if (IsForeign(aRecord)) {
+    aRecord.m_epoch = m_claim.m_epoch;
+    SubmitForeign(std::move(aRecord), std::move(aDone));
+    return;
+  }
+  bool isLate = false;
+  bool isExcess = false;
+  const Millis waited = std::chrono::duration_cast<Millis>(LeaseClockNow() - FirstRefusalTime(id));
+  SubmitResult result = Judge(aRecord, isLate, isExcess);
+  if (result.m_outcome != SubmitOutcome::Accepted) {
+    aDone(std::move(result));
+    return;
+  }
+  aRecord.m_acceptedAt -= waited;
+  aRecord.m_epoch = m_claim.m_epoch;
+  m_pendingSubmissions[id] = { aRecord.m_account, { std::move(aDone) } };
+  StoreSubmission(std::move(aRecord), isLate, isExcess);
+}
+
+void PoolOwner::StoreSubmission(job::JobRecord aRecord, bool aIsLate, bool aIsExcess)
+{
+  const std::string id = aRecord.m_id;
+  std::string value = job::EncodeJobRecord(aRecord);
+  m_batchWriter.Put(
+    kJobTable,
+    id,
+    std::move(value),
+    [this, record = std::move(aRecord), aIsLate, aIsExcess, alive = std::weak_ptr<int>(m_alive)](
+      WriteOutcome aOutcome) {
+      if (alive.expired()) {
+        return;
+      }
+      if (aOutcome == WriteOutcome::Saved) {
+        PlaceJob(record, aIsLate, aIsExcess);
+      }
+      EndSubmission(record.m_id, { SubmitOutcomeOf(aOutcome) });
+    });
+}
+
+void PoolOwner::EndSubmission(const std::string& aId, const SubmitResult& aResult)
+{
+  const std::vector<SubmitCallback> callbacks = std::move(m_pendingSubmissions[aId].m_callbacks);
+  m_pendingSubmissions.erase(aId);
+  for (const SubmitCallback& callback : callbacks) {
+    callback(aResult);
+  }
+}
+
+SubmitResult PoolOwner::Admit(const job::JobRecord& aRecord)
+{
+  if (!IsAuthoritative() || m_isDraining) {
+    return { SubmitOutcome::NotOwner, Millis{ 0 } };
+  }
+  if (KnowsJob(aRecord.m_id)) {
+    return { SubmitOutcome::Accepted, Millis{ 0 } }; // A repeated request; its home decides.
+  }
+  bool isLate = false;
+  bool isExcess = false;
+  return Judge(aRecord, isLate, isExcess);
+}
+
+SubmitResult PoolOwner::Judge(const job::JobRecord& aRecord, bool& aIsLate, bool& aIsExcess)
+{
+  const std::string& id = aRecord.m_id;
   UpdateAccounts();
   if (std::string reason = m_scheduler.DescribeLimitError(aRecord); !reason.empty()) {
     Log(LogCategory::Placement,
@@ -83,19 +150,17 @@
         aRecord.m_account,
         "reason",
         reason);
-    aDone({ SubmitOutcome::Invalid, Millis{ 0 }, std::move(reason) });
-    return;
+    return { SubmitOutcome::Invalid, Millis{ 0 }, std::move(reason) };
   }
   const TimePoint now = LeaseClockNow();
   const Millis waited = std::chrono::duration_cast<Millis>(now - FirstRefusalTime(id));
   if (!m_firstRefusals.contains(id)) {
     m_scheduler.OnFirstAttempt(aRecord, now);
   }
-  const bool isExcess = IsExcess(aRecord, now);
-  const auto retryAfter = isExcess ? m_scheduler.RefuseExcess(aRecord, now) : std::nullopt;
+  aIsExcess = IsExcess(aRecord, now);
+  const auto retryAfter = aIsExcess ? m_scheduler.RefuseExcess(aRecord, now) : std::nullopt;
   if (retryAfter) {
-    RefuseSubmission(aRecord, isExcess, *retryAfter, aDone, now);
-    return;
+    return RefuseSubmission(aRecord, aIsExcess, *retryAfter, now);
   }
   const WorkMeter::Scope scope(m_context.m_work, WorkPart::Submission);
   const job::AdmissionDecision verdict = m_scheduler.EvaluateAdmission(aRecord, waited, now);
@@ -119,35 +184,10 @@
       "config",
       m_context.m_deployment.m_version);
   if (!verdict.m_isAccepted) {
-    RefuseSubmission(aRecord, isExcess, verdict.m_retryAfter, aDone, now);
-    return;
+    return RefuseSubmission(aRecord, aIsExcess, verdict.m_retryAfter, now);
   }
-  aRecord.m_epoch = m_claim.m_epoch;
-  aRecord.m_acceptedAt -= waited;
-  m_pendingSubmissions[id] = { aRecord.m_account, { std::move(aDone) } };
-  std::string value = job::EncodeJobRecord(aRecord);
-  m_batchWriter.Put(kJobTable,
-                    id,
-                    std::move(value),
-                    [this,
-                     id,
-                     record = std::move(aRecord),
-                     isLate = verdict.m_isLate,
-                     isExcess,
-                     alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
-                      if (alive.expired()) {
-                        return;
-                      }
-                      const std::vector<SubmitCallback> callbacks =
-                        std::move(m_pendingSubmissions[id].m_callbacks);
-                      m_pendingSubmissions.erase(id);
-                      if (aOutcome == WriteOutcome::Saved) {
-                        AddJob(record, isLate, isExcess);
-                      }
-                      for (const SubmitCallback& callback : callbacks) {
-                        callback({ SubmitOutcomeOf(aOutcome), Millis{ 0 } });
-                      }
-                    });
+  aIsLate = verdict.m_isLate;
+  return { SubmitOutcome::Accepted, Millis{ 0 } };
 }
 
 bool PoolOwner::IsForbidden(const std::string& aId, const job::Caller& aCaller) const
@@ -155,6 +195,12 @@
   if (const auto pending = m_pendingSubmissions.find(aId); pending != m_pendingSubmissions.end()) {
     return !aCaller.MayAccess(pending->second.m_account);
   }
+  if (const auto move = m_moves.find(aId); move != m_moves.end()) {
+    return !aCaller.MayAccess(move->second->m_record.m_account);
+  }
+  if (const JobForward* forward = FindForward(aId)) {
+    return !aCaller.MayAccess(forward->m_account);
+  }
   const job::Job* job = m_scheduler.FindJob(aId);
   return job && !aCaller.MayAccess(job->m_record.m_account);
 }
@@ -167,7 +213,12 @@
   const auto inInbox = std::count_if(m_inboxJobs.begin(), m_inboxJobs.end(), [&](const auto& aJob) {
     return aJob.second == aQueue && !m_deferredCancels.contains(aJob.first);
   });
-  return m_scheduler.WaitingJobs(aQueue) + static_cast<std::size_t>(inInbox);
+  const auto moving = std::count_if(m_moves.begin(), m_moves.end(), [&](const auto& aMove) {
+    const job::JobRecord& record = aMove.second->m_record;
+    return record.m_queuePolicy.m_queue == aQueue && !aMove.second->m_hasStarted &&
+           record.m_spec.m_repeatCount == 0;
+  });
+  return m_scheduler.WaitingJobs(aQueue) + static_cast<std::size_t>(inInbox + moving);
 }
 
 void PoolOwner::Cancel(const std::string& aId, std::function<void(std::optional<bool>)> aDone)
@@ -176,8 +227,8 @@
     aDone(std::nullopt);
     return;
   }
-  if (m_pendingSubmissions.contains(aId)) {
-    aDone(std::nullopt); // The job's write is pending, so the caller has to ask again.
+  if (m_pendingSubmissions.contains(aId) || m_moves.contains(aId)) {
+    aDone(std::nullopt); // The job's write or move is pending, so the caller has to ask again.
     return;
   }
   const job::Job* job = m_scheduler.FindJob(aId);
@@ -221,8 +272,13 @@
     return;
   }
   const std::string id = key.substr(prefix.size());
+  if (FindForward(id)) {
+    ForwardCancel(id);
+    return;
+  }
   if (!m_scheduler.FindJob(id)) {
-    m_deferredCancels.insert(id); // The job is being moved from the inbox to the job table.
+    // The job is being moved from the inbox to the job table, or to another shard.
+    m_deferredCancels.insert(id);
     return;
   }
   if (!m_isDraining && m_scheduler.CancelJob(id, LeaseClockNow())) {
@@ -251,17 +307,22 @@
   const Millis age = std::max(Millis{ 0 }, WallNow() - aRecord.m_acceptedAt);
   m_scheduler.AddJob(aRecord, LeaseClockNow() - age, aIsLate, aIsExcess);
   m_inboxJobs.erase(aRecord.m_id);
-  if (m_deferredCancels.erase(aRecord.m_id) > 0) {
+  ApplyDeferredCancel(aRecord.m_id);
+  RequestDecision();
+}
+
+void PoolOwner::ApplyDeferredCancel(const std::string& aId)
+{
+  if (m_deferredCancels.erase(aId) > 0) {
     platform::Row cancel;
-    cancel.m_rowId = { kInboxTable, Pool(), kCancelPrefix + aRecord.m_id };
+    cancel.m_rowId = { kInboxTable, Pool(), kCancelPrefix + aId };
     OnInboxRow(cancel);
   }
-  RequestDecision();
 }
 
 void PoolOwner::AcceptFromInbox(const std::string& aId, const std::string& aValue)
 {
-  if (m_scheduler.FindJob(aId)) {
+  if (KnowsJob(aId)) {
     if (!m_isDraining) {
       RemoveFromInbox(aId);
     }
@@ -302,16 +363,11 @@
       if (alive.expired()) {
         return;
       }
-      const std::vector<SubmitCallback> callbacks =
-        std::move(m_pendingSubmissions[record.m_id].m_callbacks);
-      m_pendingSubmissions.erase(record.m_id);
       if (aOutcome == WriteOutcome::Saved) {
-        AddJob(record, false, false);
+        PlaceJob(record, false, false);
         RemoveFromInbox(record.m_id);
       }
-      for (const SubmitCallback& callback : callbacks) {
-        callback({ SubmitOutcomeOf(aOutcome), Millis{ 0 } });
-      }
+      EndSubmission(record.m_id, { SubmitOutcomeOf(aOutcome) });
     });
 }
 
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -12,6 +12,8 @@
 
 #include "mustardtray/job/Ownership.h"
 #include "mustardtray/job/PoolScheduler.h"
+#include "mustardtray/process/Backoff.h"
+#include "node/JobMove.h"
 #include "node/MinionSession.h"
 #include "node/NodeContext.h"
 #include "node/PartitionReader.h"
@@ -77,6 +79,11 @@
 
   using SubmitCallback = std::function<void(SubmitResult)>;
   void Submit(job::JobRecord aRecord, SubmitCallback aDone);
+  /// Returns whether this pool would accept a job that another shard is about to store for it. The
+  /// outcome is Accepted or a refusal; a refused attempt is remembered as by Submit().
+  SubmitResult Admit(const job::JobRecord& aRecord);
+  /// Takes a job from another shard.
+  void Adopt(job::JobRecord aRecord, std::function<void(AdoptOutcome)> aDone);
   /// Puts the accounts of the configuration in force. Called for each new configuration.
   void OnConfiguration() { UpdateAccounts(); }
   /// Cancels a job. aDone gets true when the job's end or its cancel is stored, false when the job
@@ -85,6 +92,16 @@
   /// Whether the job is known and the caller may neither read nor cancel it.
   bool IsForbidden(const std::string& aId, const job::Caller& aCaller) const;
   const job::PoolScheduler& Scheduler() const { return m_scheduler; }
+  /// Returns the state to report to callers; empty when the shard does not have the job.
+  std::optional<job::JobState> ReportedState(const std::string& aId) const;
+  /// Returns where the job has moved to, or nullptr.
+  const JobForward* FindForward(const std::string& aId) const;
+  /// Shards to which jobs of the queue have moved.
+  std::set<std::string> ForwardShards(const std::string& aQueue) const
+  {
+    const auto found = m_forwardShards.find(aQueue);
+    return found == m_forwardShards.end() ? std::set<std::string>{} : found->second;
+  }
   /// Number of the queue's accepted jobs that have not started, those in the inbox included. Empty
   /// while that is not known, because the inbox could not be read for a while.
   std::optional<std::size_t> WaitingJobs(const std::string& aQueue, TimePoint aNow) const;
@@ -165,19 +182,69 @@
   Millis LongestInheritedLease(const UsedMinion& aMinion) const;
   void EndSessionsOfErasedMinions();
   void AddJob(const job::JobRecord& aRecord, bool aIsLate, bool aIsExcess);
+  /// Carries out the cancel of a job that was not in the scheduler when it came.
+  void ApplyDeferredCancel(const std::string& aId);
+  /// Judges a new job; the result is Accepted when it is to be stored. aIsLate, aIsExcess: see
+  /// AddJob().
+  SubmitResult Judge(const job::JobRecord& aRecord, bool& aIsLate, bool& aIsExcess);
   TimePoint FirstRefusalTime(const std::string& aId) const;
   /// Whether the job is beyond its account's rate. Charges each job once; see m_firstRefusals.
   bool IsExcess(const job::JobRecord& aRecord, TimePoint aNow);
-  /// Responds that the job is refused, and remembers the attempt.
-  void RefuseSubmission(const job::JobRecord& aRecord,
-                        bool aIsExcess,
-                        Millis aRetryAfter,
-                        const SubmitCallback& aDone,
-                        TimePoint aNow);
+  /// Remembers a refused attempt.
+  SubmitResult RefuseSubmission(const job::JobRecord& aRecord,
+                                bool aIsExcess,
+                                Millis aRetryAfter,
+                                TimePoint aNow);
   /// Logs the accounts with the largest shares, if units wait.
   void LogAccountShares();
   void AcceptFromInbox(const std::string& aId, const std::string& aValue);
 
+  // Moves of jobs to other shards.
+
+  /// A job that is being handed to another shard. It does not run here any more.
+  struct JobMove
+  {
+    job::JobRecord m_record; ///< Includes the move.
+    std::string m_shard;
+    bool m_hasStarted = false;
+    bool m_isSending = false;
+    Backoff m_backoff;
+    TimerHandle m_retryTimer;
+  };
+  /// Whether this shard has the job, or had it.
+  bool KnowsJob(const std::string& aId) const;
+  /// Queue of a known job; empty when the job is not known.
+  std::string QueueOf(const std::string& aId) const;
+  /// Whether the job was stored here for another pool.
+  bool IsForeign(const job::JobRecord& aRecord) const;
+  /// Schedules a stored job, or begins to hand it to the pool that is to run it.
+  void PlaceJob(const job::JobRecord& aRecord, bool aIsLate, bool aIsExcess);
+  void HandOverForeign(job::JobRecord aRecord);
+  /// Hands a job over. aRecord: includes the move, which the store shows as begun.
+  void HandOver(job::JobRecord aRecord, const std::string& aShard, bool aHasStarted);
+  void SendMove(const std::string& aId);
+  void RetryMove(JobMove& aMove);
+  void OnMoveDone(const std::string& aId);
+  void AddForward(const std::string& aId, const JobForward& aForward);
+  /// Removes the rows of a job that has moved.
+  void RemoveMovedRows(const std::string& aId);
+  /// Called when the other shard cannot take the job: it stays here.
+  void OnMoveRejected(const std::string& aId);
+  /// Called when a job that has moved here has been written, or one whose move was rejected.
+  void OnMovedJobStored(const job::JobRecord& aRecord,
+                        WriteOutcome aOutcome,
+                        const std::function<void(AdoptOutcome)>& aDone);
+  void LoadForward(const platform::Row& aRow);
+  /// Whether a stored job is to be scheduled; begins or ends its move otherwise.
+  bool IsLoadedHere(job::JobRecord& aRecord, const std::string& aProgress);
+  /// Passes the cancel of a moved job on to the inbox of its shard.
+  void ForwardCancel(const std::string& aId);
+  void SendCancel(const std::string& aId);
+  /// Asks the pool that is to run a foreign job whether to accept it, and stores it.
+  void SubmitForeign(job::JobRecord aRecord, SubmitCallback aDone);
+  void StoreSubmission(job::JobRecord aRecord, bool aIsLate, bool aIsExcess);
+  void EndSubmission(const std::string& aId, const SubmitResult& aResult);
+
   NodeContext& m_context;
   job::OwnerRow m_claim;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
@@ -227,6 +294,13 @@
   TimePoint m_inboxReadAt{};              ///< The rows that the inbox had then are known.
   /// Queues of the jobs in the inbox that the scheduler does not have yet.
   std::map<std::string, std::string> m_inboxJobs;
+  std::map<std::string, std::unique_ptr<JobMove>> m_moves;      ///< By job.
+  std::map<std::string, JobForward> m_forwards;                 ///< By job: moves that are done.
+  std::map<std::string, std::set<std::string>> m_forwardShards; ///< Of these jobs, by queue.
+  std::set<std::string> m_removedRows;            ///< Moved jobs whose rows the store has.
+  std::map<std::string, JobForward> m_begunMoves; ///< While loading: not done.
+  /// Jobs whose cancel is being passed on, with the time of the next attempt.
+  std::map<std::string, TimerHandle> m_forwardedCancels;
   std::set<std::string> m_deferredCancels; ///< Cancelled jobs that the scheduler does not have yet.
   std::vector<platform::Row> m_deferredInboxRows; ///< Inbox rows that arrived before loading ended.
   std::vector<job::MinionEntry> m_deferredMinionEntries;
--- a/src/node/PoolOwnerAccounts.cpp
+++ b/src/node/PoolOwnerAccounts.cpp
@@ -34,11 +34,10 @@
   return isExcess;
 }
 
-void PoolOwner::RefuseSubmission(const job::JobRecord& aRecord,
-                                 bool aIsExcess,
-                                 Millis aRetryAfter,
-                                 const SubmitCallback& aDone,
-                                 TimePoint aNow)
+SubmitResult PoolOwner::RefuseSubmission(const job::JobRecord& aRecord,
+                                         bool aIsExcess,
+                                         Millis aRetryAfter,
+                                         TimePoint aNow)
 {
   m_scheduler.OnRefused(aRecord, aNow);
   if (m_firstRefusals.emplace(aRecord.m_id, FirstRefusal{ aNow, aIsExcess }).second) {
@@ -68,7 +67,7 @@
         m_unloggedExcess);
     m_unloggedExcess = 0;
   }
-  aDone({ SubmitOutcome::Refused, aRetryAfter });
+  return { SubmitOutcome::Refused, aRetryAfter };
 }
 
 void PoolOwner::LogAccountShares()
--- a/src/node/PoolOwnerLoading.cpp
+++ b/src/node/PoolOwnerLoading.cpp
@@ -74,7 +74,12 @@
       }
     }
   };
-  const auto onRead = [this, claimedAt, reads = std::make_shared<int>(2)] {
+  const auto onForwards = [this](std::vector<platform::Row>& aRows) {
+    for (const platform::Row& row : aRows) {
+      LoadForward(row);
+    }
+  };
+  const auto onRead = [this, claimedAt, reads = std::make_shared<int>(3)] {
     if (--*reads == 0) {
       OnInboxRead(claimedAt);
       FinishLoading();
@@ -83,6 +88,7 @@
   // Only owners move rows from the inbox, so it can be read beside the other tables.
   m_reader.ReadTable(
     kInboxTable, [this](std::vector<platform::Row>& aRows) { OnInboxRows(aRows); }, onRead);
+  m_reader.ReadTable(kForwardTable, onForwards, onRead);
   m_reader.ReadTable(kHeadTable, onHead, [=, this] {
     m_reader.ReadTable(kUsedMinionTable, onMinions, [=, this] {
       m_reader.ReadTable(kJobTable, toMap(m_loadedJobs), [=, this] {
@@ -110,6 +116,9 @@
           record.error().Text());
       continue;
     }
+    if (!IsLoadedHere(record.value(), m_loadedProgress[id])) {
+      continue;
+    }
     const auto loaded =
       m_scheduler.LoadJob(std::move(record.value()), m_loadedProgress[id], now, wallNow);
     if (!loaded) {
@@ -126,6 +135,7 @@
   }
   m_loadedJobs.clear();
   m_loadedProgress.clear();
+  m_begunMoves.clear();
   m_isLoaded = true;
   m_loadedAt = now;
   Log(LogCategory::Membership,
--- a/tests/node/JobGatewayTest.cpp
+++ b/tests/node/JobGatewayTest.cpp
@@ -40,6 +40,7 @@
     queue.m_pool = "pool";
     m_node.m_context.m_deployment.m_queues.push_back(queue);
     m_node.m_context.m_shards.Set("pool", 1);
+    m_node.m_context.m_queueHomes.Set(job::QueueKeyOf(queue), { "pool", "" });
   }
 
   static platform::NodeSettings MakeSettings(std::uint16_t aPort)
