Job, node: move a job to a shard that can run it

Cause: shards divide jobs and machines by two hashes that know nothing of each other, for good. A division that was made to bound an owner's work had become a rule of placement.

Change: an owner looks for jobs that wait while nothing of them runs, asks the owners of the pool's other shards, and of the pool to which the queue is sent now, what they could do for them, and moves those that can run elsewhere. The store shows that a move has begun before the other shard may have the job, so later owners go on with it; run numbers and progress go along. Machines of a kind or size that is rare in the pool are together in one shard.

--- a/include/mustardtray/job/PoolScheduler.h
+++ b/include/mustardtray/job/PoolScheduler.h
@@ -50,6 +50,28 @@
 /// out, because the unit has to run again soon.
 inline constexpr Millis kMaxLongRunningOrderWait{ 6'000 };
 
+/// What a shard could do for a job that waits in another one.
+struct ShardRoom
+{
+  std::uint32_t m_waitingUnits = 0;   ///< Of the job's steps whose turn has come.
+  std::uint32_t m_holdableUnits = 0;  ///< Those of them that its minions could run if empty.
+  std::uint32_t m_startableUnits = 0; ///< Those of them that could start now.
+};
+
+/// A job that waits while nothing of it runs, and could move to another shard.
+struct WaitingJob
+{
+  std::string m_id;
+  ShardRoom m_room; ///< Of this shard.
+  TimePoint m_since{};
+
+  /// Whether the minions of this shard cannot run all that waits, even if they were empty.
+  bool IsUnfit() const { return m_room.m_holdableUnits < m_room.m_waitingUnits; }
+};
+
+/// Notes in the record that the job leaves a shard whose owner has this epoch.
+void CountMove(JobRecord& aRecord, std::uint32_t aEpoch);
+
 class PoolScheduler
 {
 public:
@@ -94,6 +116,22 @@
   /// Called when the store has the job's progress up to a revision.
   void OnProgressSaved(const std::string& aId, std::uint64_t aRevision);
 
+  // Moves of jobs to other shards.
+
+  /// Whether the pool has other shards, to which jobs could move.
+  void SetOtherShards(bool aHasOtherShards) { m_hasOtherShards = aHasOtherShards; }
+  ShardRoom MeasureRoomFor(const JobRecord& aRecord, TimePoint aNow) const;
+  /// Returns jobs that have waited for long enough to move; to be called several times a second.
+  std::vector<WaitingJob> FindMovable(std::size_t aMaxJobs, TimePoint aNow);
+  /// Returns a job's record with its present progress, to ask other shards about it.
+  std::optional<JobRecord> DescribeJob(const std::string& aId) const;
+  /// Starts nothing more of the job, and returns its record with the move and its progress. Returns
+  /// nothing when something of the job may run or is not stored.
+  std::optional<JobRecord> HoldForMove(const std::string& aId, TimePoint aNow);
+  void EndHold(const std::string& aId);
+  /// Removes a job that has been held since its record was returned.
+  void RemoveHeldJob(const std::string& aId);
+
   // Limits of client accounts.
 
   /// aShards: of all pools; 0 while it is not known.
@@ -227,6 +265,17 @@
     StepState& State() const { return m_job->m_occurrences.at(m_occurrence).m_steps[m_step]; }
   };
 
+  ShardRoom MeasureRoom(const JobSpec& aSpec,
+                        const std::map<std::uint32_t, Occurrence>& aOccurrences,
+                        TimePoint aNow) const;
+  /// Whether a new job has to wait until other shards have been asked, since this one cannot hold
+  /// all units of a long-running step: a job does not move any more once a unit of it runs.
+  bool WaitsForOtherShards(const QueuedStep& aQueued, TimePoint aNow) const;
+  /// Whether no unit of the job has a run.
+  static bool IsIdle(const Job& aJob);
+  /// Whether nothing of the job may run and all of it is stored.
+  bool CanMove(const Job& aJob, TimePoint aNow) const;
+  void ForgetAdvice(const Job& aJob);
   void InitializeJob(Job& aJob, TimePoint aNow);
   Result<void> InsertJob(JobRecord aRecord,
                          std::string_view aProgress,
@@ -469,6 +518,7 @@
   PoolPolicy m_policy;
   TimePoint m_beganAt;
   std::uint32_t m_epoch = 0;
+  bool m_hasOtherShards = false;
   JobTable m_jobs;
   MinionTable m_minions;
   std::map<std::string, TimePoint> m_awaited; ///< Lease ends; see AwaitMinion().
--- a/include/mustardtray/job/PoolState.h
+++ b/include/mustardtray/job/PoolState.h
@@ -70,6 +70,9 @@
   std::vector<Millis> m_longestPathFrom; ///< By step: longest path that begins with it.
   std::uint64_t m_revision = 0;          ///< Incremented with each change that has to be stored.
   std::uint64_t m_savedRevision = 0;     ///< Latest revision in the store.
+  bool m_isHeld = false;                 ///< Nothing of it starts, since it is about to move.
+  TimePoint m_idleSince{};               ///< Since when nothing of it runs although units wait.
+  TimePoint m_nextMoveCheckAt{};         ///< See PoolScheduler::FindMovable().
   bool m_hasCrashes = false;             ///< A minion has crashed under one of its units.
   /// Result for the current run time correction; computed when it is needed.
   mutable CorrectedPaths m_correctedPaths;
@@ -237,6 +240,8 @@
 /// ErrorKind::Invalid.
 Result<JobState> DecodeProgressState(std::string_view aText);
 
+/// Whether the units of the step have their turn.
+bool ArePredecessorsDone(const StepSpec& aSpec, const Occurrence& aOccurrence);
 /// Creates an occurrence with all units waiting.
 Occurrence MakeOccurrence(const JobSpec& aSpec, TimePoint aDueAt);
 /// Returns for each step the longest path of estimated run times that begins with it.
--- a/src/job/PoolScheduler.cpp
+++ b/src/job/PoolScheduler.cpp
@@ -77,7 +77,9 @@
 {
   const std::vector<Job*> scheduledJobs(m_scheduledJobs.begin(), m_scheduledJobs.end());
   for (Job* job : scheduledJobs) {
-    BeginDueOccurrences(*job, aNow, aWallNow);
+    if (!job->m_isHeld) {
+      BeginDueOccurrences(*job, aNow, aWallNow);
+    }
   }
   ExpireLeases(aNow);
   CountCrashes(aNow);
@@ -129,7 +131,9 @@
       continue;
     }
     // Units of inherited jobs may still run on a minion that has not answered yet.
-    const bool isBlocked = isRecovering && queued.m_job->m_isInherited;
+    const bool isBlocked = queued.m_job->m_isHeld ||
+                           (isRecovering && queued.m_job->m_isInherited) ||
+                           WaitsForOtherShards(queued, aNow);
     const bool isPlaced =
       !isBlocked && (spec.m_isGang ? PlaceGang(queued, aNow) : PlaceUnits(queued, false, aNow));
     if (isPlaced) {
--- a/src/job/PoolSchedulerDrain.cpp
+++ b/src/job/PoolSchedulerDrain.cpp
@@ -228,7 +228,8 @@
                                     TimePoint aNow)
 {
   std::erase_if(aQueued, [&](QueuedStep& aStep) {
-    const bool isBlocked = aIsRecovering && aStep.m_job->m_isInherited;
+    const bool isBlocked = aStep.m_job->m_isHeld || (aIsRecovering && aStep.m_job->m_isInherited) ||
+                           WaitsForOtherShards(aStep, aNow);
     const StepSpec& spec = aStep.Spec();
     if (isBlocked || !spec.m_isLongRunning || spec.m_isGang || !PlaceUnits(aStep, true, aNow)) {
       return false;
--- a/src/job/PoolSchedulerJobs.cpp
+++ b/src/job/PoolSchedulerJobs.cpp
@@ -22,13 +22,6 @@
          static_cast<double>(aSpec.m_estimate.count());
 }
 
-bool ArePredecessorsDone(const StepSpec& aSpec, const Occurrence& aOccurrence)
-{
-  return std::all_of(aSpec.m_after.begin(), aSpec.m_after.end(), [&](std::uint32_t aEarlier) {
-    return aOccurrence.m_steps[aEarlier].IsDone();
-  });
-}
-
 } // namespace
 
 void PoolScheduler::InitializeJob(Job& aJob, TimePoint aNow)
@@ -314,13 +307,18 @@
   m_scheduledJobs.erase(&aJob);
   std::erase_if(m_queued, [&](const QueuedStep& aQueued) { return aQueued.m_job == &aJob; });
   StopRunsOf(aJob, ReasonOfEnd(aState), aNow);
+  ForgetAdvice(aJob);
+  aJob.m_record.m_spec.m_payload.clear();
+  aJob.m_occurrences.clear();
+}
+
+void PoolScheduler::ForgetAdvice(const Job& aJob)
+{
   for (const auto& [number, occurrence] : aJob.m_occurrences) {
     for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
       m_advice.ForgetStep(StepName(UnitId{ aJob.m_record.m_id, number, s, 0 }.Text()));
     }
   }
-  aJob.m_record.m_spec.m_payload.clear();
-  aJob.m_occurrences.clear();
 }
 
 void PoolScheduler::FailJobUnlessInUse(Job& aJob, TimePoint aNow)
--- a/src/job/PoolState.cpp
+++ b/src/job/PoolState.cpp
@@ -218,6 +218,13 @@
   return boost::outcome_v2::success();
 }
 
+bool ArePredecessorsDone(const StepSpec& aSpec, const Occurrence& aOccurrence)
+{
+  return std::all_of(aSpec.m_after.begin(), aSpec.m_after.end(), [&](std::uint32_t aEarlier) {
+    return aOccurrence.m_steps[aEarlier].IsDone();
+  });
+}
+
 Occurrence MakeOccurrence(const JobSpec& aSpec, TimePoint aDueAt)
 {
   Occurrence occurrence;
--- a/src/node/JobMove.h
+++ b/src/node/JobMove.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "mustardtray/job/Job.h"
 #include "mustardtray/process/Error.h"
@@ -32,6 +33,13 @@
   job::JobRecord m_record;
 };
 
+/// Asks a shard what it could do for jobs of another one. The records have no payload.
+struct RoomRequest
+{
+  std::string m_shard;
+  std::vector<job::JobRecord> m_records;
+};
+
 enum class AdoptOutcome
 {
   Adopted,  ///< The shard has the job, or had it and has passed it on.
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -21,6 +21,8 @@
     HandleAdmission(aRequest, aResponder);
   } else if (aRequest.m_path == kPeerAdoptPath) {
     HandleAdoption(aRequest, std::move(aResponder));
+  } else if (aRequest.m_path == kPeerRoomPath) {
+    HandleRoomRequest(aRequest, aResponder);
   } else if (aRequest.m_path == kPeerFleetPath) {
     HandleFleetSync(aRequest, aResponder);
   } else if (aRequest.m_path == kPeerConfigurationPath) {
@@ -73,6 +75,17 @@
                });
 }
 
+void PeerHandler::HandleRoomRequest(const HttpRequest& aRequest, const HttpResponder& aResponder)
+{
+  const auto request = DecodeRoomRequest(aRequest.m_body);
+  PoolOwner* owner = request ? m_localOwner(request.value().m_shard) : nullptr;
+  std::vector<job::ShardRoom> rooms;
+  if (owner) {
+    rooms = owner->MeasureRoom(request.value().m_records);
+  }
+  aResponder.Send(JsonResponse(200, EncodeRoom(rooms)));
+}
+
 void PeerHandler::HandleFleetSync(const HttpRequest& aRequest, const HttpResponder& aResponder)
 {
   const auto query = DecodeFleetSyncRequest(aRequest.m_body);
--- a/src/node/PeerHandler.h
+++ b/src/node/PeerHandler.h
@@ -24,6 +24,7 @@
   void HandleSubmit(const HttpRequest& aRequest, HttpResponder aResponder);
   void HandleAdmission(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleAdoption(const HttpRequest& aRequest, HttpResponder aResponder);
+  void HandleRoomRequest(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleFleetSync(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleJobQuery(const HttpRequest& aRequest, HttpResponder aResponder);
 
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -106,6 +106,58 @@
   });
 }
 
+std::string EncodeRoomRequest(const RoomRequest& aRequest)
+{
+  json records = json::array();
+  for (const job::JobRecord& record : aRequest.m_records) {
+    records.push_back(job::EncodeJobRecord(record));
+  }
+  return json{ { "shard", aRequest.m_shard }, { "records", std::move(records) } }.dump(
+    -1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<RoomRequest> DecodeRoomRequest(const std::string& aText)
+{
+  std::vector<std::string> records;
+  auto request = Parse<RoomRequest>(aText, [&](const json& aIn) {
+    records = aIn.at("records").get<std::vector<std::string>>();
+    return RoomRequest{ aIn.at("shard").get<std::string>(), {} };
+  });
+  if (!request) {
+    return request.error();
+  }
+  for (const std::string& text : records) {
+    auto record = job::DecodeJobRecord(text);
+    if (!record) {
+      return record.error();
+    }
+    request.value().m_records.push_back(std::move(record.value()));
+  }
+  return request;
+}
+
+std::string EncodeRoom(const std::vector<job::ShardRoom>& aRoom)
+{
+  json out = json::array();
+  for (const job::ShardRoom& room : aRoom) {
+    out.push_back({ room.m_waitingUnits, room.m_holdableUnits, room.m_startableUnits });
+  }
+  return out.dump();
+}
+
+Result<std::vector<job::ShardRoom>> DecodeRoom(const std::string& aText)
+{
+  return Parse<std::vector<job::ShardRoom>>(aText, [](const json& aIn) {
+    std::vector<job::ShardRoom> rooms;
+    for (const json& room : aIn) {
+      rooms.push_back({ room.at(0).get<std::uint32_t>(),
+                        room.at(1).get<std::uint32_t>(),
+                        room.at(2).get<std::uint32_t>() });
+    }
+    return rooms;
+  });
+}
+
 std::string EncodeSubmitResult(const SubmitResult& aResult)
 {
   json out{ { "outcome", ToName(aResult.m_outcome) },
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -16,6 +16,7 @@
 /// Paths of the requests between owners of shards; see PoolOwnerMoves.cpp.
 inline constexpr const char* kPeerAdmitPath = "/peer/admit";
 inline constexpr const char* kPeerAdoptPath = "/peer/adopt";
+inline constexpr const char* kPeerRoomPath = "/peer/room";
 
 /// Builds a call to another node. The timeout also limits connecting.
 HttpCall MakePeerCall(const std::string& aAddress,
@@ -38,6 +39,11 @@
 Result<AdoptRequest> DecodeAdoptRequest(const std::string& aText);
 std::string EncodeAdoptOutcome(AdoptOutcome aOutcome);
 Result<AdoptOutcome> DecodeAdoptOutcome(const std::string& aText);
+std::string EncodeRoomRequest(const RoomRequest& aRequest);
+Result<RoomRequest> DecodeRoomRequest(const std::string& aText);
+/// The answer has one entry for each job of the request, or none when the shard cannot tell.
+std::string EncodeRoom(const std::vector<job::ShardRoom>& aRoom);
+Result<std::vector<job::ShardRoom>> DecodeRoom(const std::string& aText);
 
 /// A query about one job, or about a queue when the job is empty.
 struct JobQuery
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -227,7 +227,8 @@
     aDone(std::nullopt);
     return;
   }
-  if (m_pendingSubmissions.contains(aId) || m_moves.contains(aId)) {
+  if (m_pendingSubmissions.contains(aId) || m_beginningMoves.contains(aId) ||
+      m_moves.contains(aId)) {
     aDone(std::nullopt); // The job's write or move is pending, so the caller has to ask again.
     return;
   }
@@ -276,7 +277,7 @@
     ForwardCancel(id);
     return;
   }
-  if (!m_scheduler.FindJob(id)) {
+  if (!m_scheduler.FindJob(id) || m_beginningMoves.contains(id)) {
     // The job is being moved from the inbox to the job table, or to another shard.
     m_deferredCancels.insert(id);
     return;
@@ -476,6 +477,7 @@
   RecordOpenStarts();
   RemoveRecordsOfDrained();
   EndSessionsOfErasedMinions();
+  ConsiderMoves(now);
   const TimePoint end = LeaseClockNow();
   m_nextDecisionAt = end + kPauseAfterDecision * (end - now);
 }
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -82,6 +82,8 @@
   /// Returns whether this pool would accept a job that another shard is about to store for it. The
   /// outcome is Accepted or a refusal; a refused attempt is remembered as by Submit().
   SubmitResult Admit(const job::JobRecord& aRecord);
+  /// Returns what this shard could do for jobs of another one; nothing when it cannot tell.
+  std::vector<job::ShardRoom> MeasureRoom(const std::vector<job::JobRecord>& aRecords) const;
   /// Takes a job from another shard.
   void Adopt(job::JobRecord aRecord, std::function<void(AdoptOutcome)> aDone);
   /// Puts the accounts of the configuration in force. Called for each new configuration.
@@ -211,6 +213,21 @@
     Backoff m_backoff;
     TimerHandle m_retryTimer;
   };
+  /// Asks other shards about jobs that wait here while nothing of them runs, and begins to move
+  /// those that can run there.
+  void ConsiderMoves(TimePoint aNow);
+  /// Shards that may run the queue's jobs, beside this one.
+  std::vector<std::string> ShardsFor(const std::string& aQueue) const;
+  /// Whether any job of this shard could run in another one.
+  bool HasOtherShards() const;
+  struct RoomQuery;
+  void OnRoom(const std::shared_ptr<RoomQuery>& aQuery,
+              const std::string& aShard,
+              const Result<std::vector<job::ShardRoom>>& aRooms);
+  /// Begins the moves; returns whether there are any.
+  bool ChooseMoves(const RoomQuery& aQuery);
+  /// Stores that a job moves, and hands it over then.
+  void BeginMove(const std::string& aId, const std::string& aShard);
   /// Whether this shard has the job, or had it.
   bool KnowsJob(const std::string& aId) const;
   /// Queue of a known job; empty when the job is not known.
@@ -299,6 +316,9 @@
   std::map<std::string, std::set<std::string>> m_forwardShards; ///< Of these jobs, by queue.
   std::set<std::string> m_removedRows;            ///< Moved jobs whose rows the store has.
   std::map<std::string, JobForward> m_begunMoves; ///< While loading: not done.
+  std::set<std::string> m_beginningMoves;         ///< Held jobs whose move is being stored.
+  TimePoint m_nextMovesAt{};                      ///< When to consider moves again.
+  bool m_isAskingForRoom = false;
   /// Jobs whose cancel is being passed on, with the time of the next attempt.
   std::map<std::string, TimerHandle> m_forwardedCancels;
   std::set<std::string> m_deferredCancels; ///< Cancelled jobs that the scheduler does not have yet.
--- a/src/node/PoolOwnerMoves.cpp
+++ b/src/node/PoolOwnerMoves.cpp
@@ -1,6 +1,7 @@
 #include "node/PoolOwner.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "mustardtray/process/Log.h"
 #include "node/PeerMessages.h"
@@ -19,6 +20,19 @@
 constexpr Millis kLongestMoveRetryDelay{ 1'000 };
 constexpr Millis kForwardedCancelTimeout{ 1'000 };
 constexpr Millis kAdmissionTimeout{ 500 };
+constexpr Millis kRoomTimeout{ 500 };
+/// Between looks for jobs that could move.
+constexpr Millis kMovesPeriod{ 400 };
+/// The same when no shard could take any.
+constexpr Millis kFruitlessMovesPeriod{ 1'200 };
+constexpr std::size_t kMaxJobsInQuery = 8;
+
+/// Longest record that another shard can store, with the number of its epoch.
+std::size_t MaxMovedBytes(const NodeContext& aContext)
+{
+  constexpr std::size_t kEpochBytes = 16;
+  return MaxValueBytes(aContext.m_settings.m_maxRowBytes) - kEpochBytes;
+}
 
 } // namespace
 
@@ -68,6 +82,187 @@
   }
 }
 
+// Jobs that cannot run here.
+
+/// A query of other shards about some jobs.
+struct PoolOwner::RoomQuery
+{
+  struct Candidate
+  {
+    job::WaitingJob m_job;
+    std::map<std::string, job::ShardRoom> m_rooms; ///< By shard.
+  };
+  std::vector<Candidate> m_candidates;
+  std::map<std::string, std::vector<std::size_t>> m_asked; ///< Candidates by shard, in this order.
+  std::size_t m_remainingShards = 0;
+};
+
+std::vector<std::string> PoolOwner::ShardsFor(const std::string& aQueue) const
+{
+  std::set<std::string> pools{ job::ShardMap::PoolOf(Pool()) };
+  for (const job::QueueSpec& queue : m_context.m_deployment.m_queues) {
+    const job::QueueHome* home = m_context.m_queueHomes.Find(job::QueueKeyOf(queue));
+    if (home && home->m_queue == aQueue) {
+      pools.insert(queue.m_pool);
+    }
+  }
+  std::vector<std::string> shards;
+  for (const std::string& pool : pools) {
+    for (const std::string& shard : m_context.m_shards.Names(pool)) {
+      if (shard != Pool()) {
+        shards.push_back(shard);
+      }
+    }
+  }
+  return shards;
+}
+
+bool PoolOwner::HasOtherShards() const
+{
+  const std::vector<job::QueueSpec>& queues = m_context.m_deployment.m_queues;
+  return m_context.m_shards.Count(job::ShardMap::PoolOf(Pool())) > 1 ||
+         std::any_of(queues.begin(), queues.end(), [this](const job::QueueSpec& aQueue) {
+           const job::QueueHome* home = m_context.m_queueHomes.Find(job::QueueKeyOf(aQueue));
+           return home && home->m_pool != aQueue.m_pool;
+         });
+}
+
+void PoolOwner::ConsiderMoves(TimePoint aNow)
+{
+  if (aNow < m_nextMovesAt || m_isAskingForRoom || !m_context.m_callShard) {
+    return;
+  }
+  m_nextMovesAt = aNow + kMovesPeriod;
+  const bool hasOtherShards = HasOtherShards();
+  m_scheduler.SetOtherShards(hasOtherShards);
+  if (!hasOtherShards) {
+    return;
+  }
+  auto query = std::make_shared<RoomQuery>();
+  std::map<std::string, RoomRequest> requests; ///< By shard.
+  for (const job::WaitingJob& waiting : m_scheduler.FindMovable(kMaxJobsInQuery, aNow)) {
+    // Room for one job says nothing about the next one.
+    if (!waiting.IsUnfit() && !query->m_candidates.empty()) {
+      break;
+    }
+    std::optional<job::JobRecord> record = m_scheduler.DescribeJob(waiting.m_id);
+    const std::vector<std::string> shards = ShardsFor(record->m_queuePolicy.m_queue);
+    if (shards.empty()) {
+      continue;
+    }
+    record->m_spec.m_payload.clear();
+    for (const std::string& shard : shards) {
+      requests[shard].m_records.push_back(*record);
+      query->m_asked[shard].push_back(query->m_candidates.size());
+    }
+    query->m_candidates.push_back({ waiting, {} });
+  }
+  query->m_remainingShards = requests.size();
+  m_isAskingForRoom = !requests.empty();
+  for (auto& [shard, request] : requests) {
+    request.m_shard = shard;
+    m_context.m_callShard(
+      shard,
+      kPeerRoomPath,
+      EncodeRoomRequest(request),
+      kRoomTimeout,
+      [this, query, shard = shard, alive = std::weak_ptr<int>(m_alive)](
+        Result<std::string> aAnswer) {
+        if (!alive.expired() && !m_isClosed) {
+          OnRoom(query, shard, aAnswer ? DecodeRoom(aAnswer.value()) : aAnswer.error());
+        }
+      });
+  }
+}
+
+void PoolOwner::OnRoom(const std::shared_ptr<RoomQuery>& aQuery,
+                       const std::string& aShard,
+                       const Result<std::vector<job::ShardRoom>>& aRooms)
+{
+  const std::vector<std::size_t>& asked = aQuery->m_asked.at(aShard);
+  if (aRooms && aRooms.value().size() == asked.size()) {
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+      aQuery->m_candidates[asked[i]].m_rooms[aShard] = aRooms.value()[i];
+    }
+  }
+  if (--aQuery->m_remainingShards == 0) {
+    m_isAskingForRoom = false;
+    if (!IsAuthoritative() || m_isDraining || !ChooseMoves(*aQuery)) {
+      m_nextMovesAt = LeaseClockNow() + kFruitlessMovesPeriod;
+    }
+  }
+}
+
+bool PoolOwner::ChooseMoves(const RoomQuery& aQuery)
+{
+  bool hasMove = false;
+  for (const RoomQuery::Candidate& candidate : aQuery.m_candidates) {
+    const job::ShardRoom& own = candidate.m_job.m_room;
+    const std::string* best = nullptr;
+    std::tuple bestRoom(own.m_startableUnits, own.m_holdableUnits);
+    for (const auto& [shard, offer] : candidate.m_rooms) {
+      const std::tuple room(offer.m_startableUnits, offer.m_holdableUnits);
+      if (room > bestRoom) {
+        best = &shard;
+        bestRoom = room;
+      }
+    }
+    // A job that could run here, too, goes only where it can start at once.
+    if (best && (std::get<0>(bestRoom) > 0 || candidate.m_job.IsUnfit())) {
+      BeginMove(candidate.m_job.m_id, *best);
+      hasMove = true;
+    }
+  }
+  return hasMove;
+}
+
+void PoolOwner::BeginMove(const std::string& aId, const std::string& aShard)
+{
+  std::optional<job::JobRecord> record = m_scheduler.HoldForMove(aId, LeaseClockNow());
+  if (!record) {
+    return;
+  }
+  if (job::EncodeJobRecord(*record).size() > MaxMovedBytes(m_context)) {
+    m_scheduler.EndHold(aId);
+    return;
+  }
+  m_beginningMoves.insert(aId);
+  const JobForward forward{
+    aShard, record->m_moves, false, record->m_queuePolicy.m_queue, record->m_account
+  };
+  m_batchWriter.Put(
+    kForwardTable,
+    aId,
+    EncodeJobForward(forward),
+    [this, aShard, record = *record, alive = std::weak_ptr<int>(m_alive)](WriteOutcome aOutcome) {
+      if (alive.expired()) {
+        return;
+      }
+      const std::string& id = record.m_id;
+      m_beginningMoves.erase(id);
+      if (aOutcome == WriteOutcome::Saved) {
+        const bool hasStarted = m_scheduler.ReportedState(id) == job::JobState::Running;
+        m_scheduler.RemoveHeldJob(id);
+        HandOver(record, aShard, hasStarted);
+      } else if (aOutcome == WriteOutcome::Rejected) {
+        m_scheduler.EndHold(id);
+        ApplyDeferredCancel(id);
+      }
+    });
+}
+
+std::vector<job::ShardRoom> PoolOwner::MeasureRoom(
+  const std::vector<job::JobRecord>& aRecords) const
+{
+  std::vector<job::ShardRoom> rooms;
+  if (IsAuthoritative() && !m_isDraining) {
+    for (const job::JobRecord& record : aRecords) {
+      rooms.push_back(m_scheduler.MeasureRoomFor(record, LeaseClockNow()));
+    }
+  }
+  return rooms;
+}
+
 // The shard that hands a job over.
 
 void PoolOwner::HandOverForeign(job::JobRecord aRecord)
@@ -408,6 +603,16 @@
     RemoveMovedRows(id);
     return false;
   }
+  if (const auto begun = m_begunMoves.find(id);
+      begun != m_begunMoves.end() && begun->second.m_moves > aRecord.m_moves) {
+    if (!aProgress.empty()) {
+      aRecord.m_progress = aProgress;
+    }
+    const auto state = job::DecodeProgressState(aRecord.m_progress);
+    job::CountMove(aRecord, m_claim.m_epoch);
+    HandOver(aRecord, begun->second.m_shard, state && state.value() == job::JobState::Running);
+    return false;
+  }
   if (IsForeign(aRecord)) {
     HandOverForeign(aRecord);
     return false;
--- a/src/node/QueueDirectory.cpp
+++ b/src/node/QueueDirectory.cpp
@@ -1,7 +1,5 @@
 #include "node/QueueDirectory.h"
 
-#include <charconv>
-
 #include "mustardtray/process/Log.h"
 
 namespace mustardtray::node {
@@ -137,13 +135,12 @@
                            if (alive.expired()) {
                              return;
                            }
-                           std::size_t shards = 0;
                            if (aPage && !aPage.value().m_rows.empty()) {
-                             const std::string& value = aPage.value().m_rows[0].m_value;
-                             std::from_chars(value.data(), value.data() + value.size(), shards);
-                           }
-                           if (shards > 0) {
-                             m_context.m_shards.Set(pool, shards);
+                             auto division =
+                               job::DecodePoolDivision(pool, aPage.value().m_rows[0].m_value);
+                             if (division) {
+                               m_context.m_shards.Set(pool, std::move(division.value()));
+                             }
                            }
                            Finish(aKey);
                          });
--- a/src/node/ShardDirectory.cpp
+++ b/src/node/ShardDirectory.cpp
@@ -1,6 +1,5 @@
 #include "node/ShardDirectory.h"
 
-#include <charconv>
 #include <map>
 
 #include "mustardtray/process/Log.h"
@@ -89,14 +88,27 @@
     if (row.m_isDeleted || m_context.m_shards.Knows(pool)) {
       continue;
     }
-    std::size_t shards = 0;
-    std::from_chars(row.m_value.data(), row.m_value.data() + row.m_value.size(), shards);
-    if (shards == 0) {
-      Log(LogCategory::Platform, LogLevel::Error, "shards-unreadable", "pool", pool);
+    auto division = job::DecodePoolDivision(pool, row.m_value);
+    if (!division) {
+      Log(LogCategory::Platform,
+          LogLevel::Error,
+          "shards-unreadable",
+          "pool",
+          pool,
+          "error",
+          division.error().Text());
       continue;
     }
-    m_context.m_shards.Set(pool, shards);
-    Log(LogCategory::Membership, LogLevel::Info, "shards", "pool", pool, "count", shards);
+    Log(LogCategory::Membership,
+        LogLevel::Info,
+        "shards",
+        "pool",
+        pool,
+        "count",
+        division.value().m_shards,
+        "rare-machines",
+        division.value().m_rareMachines.size());
+    m_context.m_shards.Set(pool, std::move(division.value()));
     hasChanged = true;
   }
   if (hasChanged || hasNewHome) {
@@ -153,9 +165,9 @@
   if (pools.empty()) {
     return;
   }
-  std::map<std::string, std::size_t> machinesByPool;
+  std::map<std::string, std::vector<const job::Machine*>> machinesByPool;
   for (const job::Machine& machine : aMachines) {
-    ++machinesByPool[machine.m_pool];
+    machinesByPool[machine.m_pool].push_back(&machine);
   }
   for (const std::string& pool : pools) {
     if (!m_pendingWrites.insert(pool).second) {
@@ -164,7 +176,8 @@
     const platform::RowId rowId{ kShardTable, pool, kSingleRowKey };
     platform::Transaction transaction;
     transaction.m_preconditions.push_back({ rowId, 0 });
-    transaction.m_writes.push_back({ rowId, std::to_string(job::ShardsFor(machinesByPool[pool])) });
+    transaction.m_writes.push_back(
+      { rowId, job::EncodePoolDivision(job::DividePool(machinesByPool[pool])) });
     m_context.m_store.Commit(
       transaction,
       kWriteTimeout,
