Soak: move queues between pools, repeat requests, a scarce kind of machine

An accepted job that is answered 410, and a start on a machine without the required label, are violations in all modes.

--- a/tests/soak/CallerSimulator.cpp
+++ b/tests/soak/CallerSimulator.cpp
@@ -24,6 +24,9 @@
 constexpr int kJobsPerEndingLongRunningJob = 15;
 constexpr int kJobsPerCancelledJob = 12;
 constexpr int kJobsPerDeadlyJob = 40;
+constexpr int kJobsPerScarceJob = 8;
+constexpr int kJobsPerRepeatedJob = 4;
+constexpr Micros kRepeatDelay{ 4'000'000 };
 /// One of so many jobs fails in every attempt that its queue allows.
 constexpr int kJobsPerFailingJob = 25;
 /// Failures of a unit that never ends well.
@@ -138,6 +141,9 @@
                { "cpu", cpu },
                { "mem_mb", 64 },
                { "estimate_ms", runMs } };
+    if (!m_options.m_scarceKind.empty() && !isLongRunning && number % kJobsPerScarceJob == 3) {
+      item["requires"] = m_options.m_scarceKind;
+    }
     if (step > 0) {
       item["after"] = { step - 1 };
     }
@@ -214,6 +220,11 @@
     if (aSubmission.m_isLongRunning) {
       m_longRunningJobs.push_back(aSubmission.m_id);
     }
+    if (m_options.m_repeatsAccepted && ++m_acceptedCount % kJobsPerRepeatedJob == 0) {
+      RunAfter(kRepeatDelay, [this, aSubmission] {
+        SendRequest("POST", aSubmission.m_path, aSubmission.m_body, [](const HttpCallResult&) {});
+      });
+    }
     if (aSubmission.m_isLongRunning ? m_cancelsLongRunning : Draw(1, kJobsPerCancelledJob) == 1) {
       RunAfter(Micros(Draw(0, 800) * 1'000), [this, id = aSubmission.m_id] { CancelJob(id); });
     }
@@ -248,6 +259,9 @@
 {
   for (const std::string& id : m_checker.UnfinishedJobs(true)) {
     SendRequest("GET", m_acceptedPaths.at(id), {}, [this, id](const HttpCallResult& aResult) {
+      if (aResult && aResult.value().m_status == 410) {
+        m_checker.OnJobNotFound(id);
+      }
       if (!aResult || aResult.value().m_status != 200) {
         return;
       }
--- a/tests/soak/CallerSimulator.h
+++ b/tests/soak/CallerSimulator.h
@@ -23,6 +23,8 @@
   /// The demand moves from queue to queue with lulls between, and long-running units end from time
   /// to time.
   bool m_variesDemand = false;
+  bool m_repeatsAccepted = false; ///< Some requests arrive again seconds after their response.
+  std::string m_scarceKind;       ///< Required by some jobs; empty: none.
   Millis m_submitPeriod{ 70 };
   /// Called when a request that was sent got no response and its time had not passed.
   std::function<void(const std::string& aRequest, TimePoint aSentAt)> m_onBroken;
@@ -89,6 +91,7 @@
   bool m_isLull = false;
   bool m_cancelsLongRunning = false;
   std::uint64_t m_jobCount = 0;
+  std::uint64_t m_acceptedCount = 0;
   TimerHandle m_submitTimer;
   TimerHandle m_pollTimer;
   std::map<std::uint64_t, TimerHandle> m_delayTimers;
--- a/tests/soak/GuaranteeChecker.cpp
+++ b/tests/soak/GuaranteeChecker.cpp
@@ -73,9 +73,17 @@
   }
 }
 
+void GuaranteeChecker::OnJobNotFound(const std::string& aJob)
+{
+  if (m_jobs.at(aJob).m_isAccepted) {
+    ReportViolation("an accepted job is not known: " + aJob);
+  }
+}
+
 void GuaranteeChecker::OnRunStarted(const job::UnitId& aUnit,
                                     std::uint32_t aRun,
-                                    const std::string& aIncarnation)
+                                    const std::string& aIncarnation,
+                                    const std::string& aKind)
 {
   const std::string name = aUnit.Text();
   Log(LogCategory::Process,
@@ -106,6 +114,9 @@
     ReportViolation("more attempts than the queue allows: " + name + ", run " +
                     std::to_string(aRun));
   }
+  if (!step.m_requiredLabel.empty() && step.m_requiredLabel != aKind) {
+    ReportViolation("started on a minion without the required label: " + name);
+  }
   for (const std::uint32_t precedingStep : step.m_after) {
     if (!IsStepDone(aUnit.m_job, precedingStep)) {
       ReportViolation("started before a preceding step was done: " + name);
--- a/tests/soak/GuaranteeChecker.h
+++ b/tests/soak/GuaranteeChecker.h
@@ -26,8 +26,15 @@
   void OnCancelSent(const std::string& aJob) { m_jobs.at(aJob).m_isCancelSent = true; }
   void OnStateReported(const std::string& aJob, const std::string& aState);
 
-  /// aIncarnation: the incarnation of the minion on which the work unit runs.
-  void OnRunStarted(const job::UnitId& aUnit, std::uint32_t aRun, const std::string& aIncarnation);
+  /// A node does not know an accepted job.
+  void OnJobNotFound(const std::string& aJob);
+
+  /// aIncarnation: the incarnation of the minion on which the work unit runs. aKind: of its
+  /// machine.
+  void OnRunStarted(const job::UnitId& aUnit,
+                    std::uint32_t aRun,
+                    const std::string& aIncarnation,
+                    const std::string& aKind);
   void OnRunEnded(const job::UnitId& aUnit,
                   job::RunOutcome aOutcome,
                   const std::string& aIncarnation);
--- a/tests/soak/MachineStandin.cpp
+++ b/tests/soak/MachineStandin.cpp
@@ -176,7 +176,7 @@
                     { "seq", ClockMs(incarnation) - incarnation.m_clockStartMs },
                     { "capacity",
                       { { "cpu", incarnation.m_cpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
-                    { "labels", { "a", "rack-1" } },
+                    { "labels", { aMachine.m_kind, "rack-1" } },
                     { "machine", aMachine.m_name },
                     { "born", incarnation.m_startTimeMs } };
   m_store.Put("servers", incarnation.m_id, entry.dump());
@@ -394,7 +394,7 @@
   const Millis duration(payload.at("ms").get<Millis::rep>());
   started.m_endsAt = Now() + (duration.count() == 0 ? kLongRunningDuration : duration);
   started.m_willFail = run % 1'000 <= payload.at("failures").get<std::uint32_t>();
-  m_checker.OnRunStarted(*id, run, IncarnationName(aMachine));
+  m_checker.OnRunStarted(*id, run, IncarnationName(aMachine), aMachine.m_kind);
   incarnation.m_runs.emplace(name, started);
   if (payload.value("deadly", false)) {
     m_crashTimers.push_back(m_timers.After(
--- a/tests/soak/MachineStandin.h
+++ b/tests/soak/MachineStandin.h
@@ -55,6 +55,11 @@
 
   /// The minions of this pool refuse starts beyond their capacity. Others start what they are told.
   void SetGuarded(const std::string& aPool) { m_guardedPools.insert(aPool); }
+  /// Gives the machine a kind other than "a". Units that require a label start only there.
+  void SetKind(const std::string& aName, const std::string& aKind)
+  {
+    m_machines.at(aName)->m_kind = aKind;
+  }
   /// Changes what the minion registers with its next heartbeat. Its runs go on.
   void SetCapacity(const std::string& aName, std::int64_t aCpu);
   /// Returns the pool's machines that have this CPU free and no unit of the step, given by the
@@ -143,6 +148,7 @@
   {
     std::string m_name;
     std::string m_pool;
+    std::string m_kind = "a";
     std::string m_state = "up";
     std::uint64_t m_wave = 0;         ///< Of the current or latest maintenance.
     std::int64_t m_cpu = kMachineCpu; ///< Capacity of its current and its next incarnation.
--- a/tests/soak/MachineStandinOrders.cpp
+++ b/tests/soak/MachineStandinOrders.cpp
@@ -49,7 +49,7 @@
         { "pool", machine->m_pool },
         { "state", machine->m_state },
         { "zone", "z1" },
-        { "labels", { "a", "rack-1" } },
+        { "labels", { machine->m_kind, "rack-1" } },
         { "capacity", { { "cpu", machine->m_cpu }, { "mem_mb", 65'536 }, { "gpu", 0 } } },
         { "id", machine->m_incarnation ? Json(machine->m_incarnation->m_id) : Json() } });
   }
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -91,6 +91,9 @@
                        "lead to its next incarnation")(
     "keep-owners", "with --same-id or --late-orders: owners of pools are not killed")(
     "clock-steps", "the time of day of machines steps and steps back")(
+    "move-queues",
+    "configurations send queues to other pools, and requests arrive again after their responses")(
+    "scarce-kind", "some jobs require a kind of machine that is scarce")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
   mustardtray::soak::SoakOptions soakOptions;
@@ -118,6 +121,8 @@
     soakOptions.m_keepsConnections = parsed.count("kept-connections") > 0;
     soakOptions.m_keepsOwners = parsed.count("keep-owners") > 0;
     soakOptions.m_hasClockSteps = parsed.count("clock-steps") > 0;
+    soakOptions.m_movesQueues = parsed.count("move-queues") > 0;
+    soakOptions.m_hasScarceKind = parsed.count("scarce-kind") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
       seeds = parsed["seeds"].as<std::vector<std::uint64_t>>();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t kDefaultSpareCount = 3;
 constexpr Millis kSubmitPeriod{ 70 };
 constexpr Millis kMinSubmitPeriod{ 10 };
+/// Machines of the scarce kind in a pool.
+constexpr std::size_t kScarceMachines = 2;
+constexpr const char* kScarceKind = "b";
 /// With less load minions still have room after a crash that the owner has not heard of.
 constexpr int kSameIdSubmitPeriods = 2;
 
@@ -64,6 +67,7 @@
   , m_lateRestartRandom(m_options.m_seed)
   , m_clockRandom(m_options.m_seed)
   , m_sameIdRandom(m_options.m_seed)
+  , m_routeRandom(m_options.m_seed)
   , m_orderFaults(m_options.m_seed)
 {
   std::filesystem::create_directories(m_options.m_folder);
@@ -75,7 +79,11 @@
     m_store.PutWithoutHistory("shards", PoolName(pool), "row", std::to_string(shards));
     m_shards.Set(PoolName(pool), shards);
     for (std::size_t machine = 0; machine < m_options.m_machinesPerPool; ++machine) {
-      m_machines.AddMachine(fmt::format("m-{}-{}", pool, machine), PoolName(pool), false);
+      const std::string name = fmt::format("m-{}-{}", pool, machine);
+      m_machines.AddMachine(name, PoolName(pool), false);
+      if (m_options.m_hasScarceKind && machine < kScarceMachines) {
+        m_machines.SetKind(name, kScarceKind);
+      }
     }
   }
   const std::size_t spareCount = std::max<std::size_t>(
@@ -95,6 +103,8 @@
   callers.m_submitsDeadlyJobs = m_options.m_hasDeadlyUnits;
   callers.m_submitsSlowJobs = m_options.m_hasSameIdCuts;
   callers.m_variesDemand = m_options.m_hasPlannedWork;
+  callers.m_repeatsAccepted = m_options.m_movesQueues;
+  callers.m_scarceKind = m_options.m_hasScarceKind ? kScarceKind : "";
   callers.m_onBroken = [this](const std::string& aRequest, TimePoint aSentAt) {
     OnRequestBroken(aRequest, aSentAt);
   };
@@ -168,10 +178,13 @@
   Json routes = Json::array();
   Json services = Json::array();
   for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
-    routes.push_back({ { "name", fmt::format("queue-{}", pool) },
+    const auto moved = m_queuePools.find(pool);
+    const std::size_t target = moved == m_queuePools.end() ? pool : moved->second;
+    const bool isRenamed = moved != m_queuePools.end() && m_routeRandom() % 2 == 0;
+    routes.push_back({ { "name", fmt::format("{}-{}", isRenamed ? "route" : "queue", pool) },
                        { "host", "soak.example" },
                        { "prefix", QueuePrefix(pool) },
-                       { "service", PoolName(pool) },
+                       { "service", PoolName(target) },
                        { "max_attempts", kMaxAttempts },
                        { "stretch", 2 },
                        { "target_duration_ms", 3'000 } });
@@ -220,6 +233,9 @@
     if (m_options.m_hasClockSteps) {
       StepClocks();
     }
+    if (m_options.m_movesQueues) {
+      MoveQueues();
+    }
     m_phaseTimer = m_timers.After(m_options.m_faultDuration, [this] { EndFaults(); });
   });
   m_context.run();
@@ -350,18 +366,27 @@
 SoakRun::Room SoakRun::FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const
 {
   const std::string path = m_callers->JobPath(aUnit.m_unit.m_job);
-  const std::string step = aUnit.m_isSpread ? aUnit.m_unit.m_job + "." : " ";
-  Room room;
+  std::optional<Room> least;
   for (std::size_t pool = 0; pool < kPoolCount; ++pool) {
-    if (!path.starts_with(QueuePrefix(pool))) {
-      continue;
-    }
-    room.m_shard = m_shards.Of(PoolName(pool), aUnit.m_unit.m_job);
-    for (const auto& machine : m_machines.MachinesWithRoom(PoolName(pool), aUnit.m_cpu, step)) {
-      ++room.m_minions;
-      room.m_minionsInShard += m_shards.Of(PoolName(pool), machine) == room.m_shard ? 1 : 0;
+    // It is not known here to which pool a queue was sent when the job was accepted.
+    if (m_options.m_movesQueues || path.starts_with(QueuePrefix(pool))) {
+      const Room room = FindRoomIn(pool, aUnit);
+      least = least && least->m_minions <= room.m_minions ? least : room;
     }
   }
+  return least.value_or(Room{});
+}
+
+SoakRun::Room SoakRun::FindRoomIn(std::size_t aPool,
+                                  const GuaranteeChecker::MissingUnit& aUnit) const
+{
+  const std::string step = aUnit.m_isSpread ? aUnit.m_unit.m_job + "." : " ";
+  Room room;
+  room.m_shard = m_shards.Of(PoolName(aPool), aUnit.m_unit.m_job);
+  for (const auto& machine : m_machines.MachinesWithRoom(PoolName(aPool), aUnit.m_cpu, step)) {
+    ++room.m_minions;
+    room.m_minionsInShard += m_shards.Of(PoolName(aPool), machine) == room.m_shard ? 1 : 0;
+  }
   return room;
 }
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -46,6 +46,8 @@
   bool m_keepsConnections = false; ///< Connections to them lead to their next incarnations.
   bool m_keepsOwners = false;      ///< Owners of pools are not killed on purpose.
   bool m_hasClockSteps = false;    ///< The time of day of machines steps and steps back.
+  bool m_movesQueues = false;      ///< Configurations send queues to other pools; requests repeat.
+  bool m_hasScarceKind = false;    ///< Some jobs require a kind of machine that is scarce.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -150,6 +152,9 @@
     std::size_t m_minionsInShard = 0; ///< Those of them that belong to the shard.
   };
   Room FindRoom(const GuaranteeChecker::MissingUnit& aUnit) const;
+  Room FindRoomIn(std::size_t aPool, const GuaranteeChecker::MissingUnit& aUnit) const;
+  /// Sends queues to other pools, and in some cases under another name.
+  void MoveQueues();
   void ReportMissing(const GuaranteeChecker::MissingUnit& aUnit, const char* aWhen);
   /// Checks during planned work that absent units of long-running jobs start again.
   void WatchLongRunningUnits(Micros aHeldUp);
@@ -171,6 +176,7 @@
   std::mt19937_64 m_lateRestartRandom;
   std::mt19937_64 m_clockRandom;
   std::mt19937_64 m_sameIdRandom;
+  std::mt19937_64 m_routeRandom;
   OrderFaults m_orderFaults;
   asio::io_context m_context;
   TimerService m_timers{ m_context };
@@ -181,6 +187,7 @@
   job::ShardMap m_shards;
   std::unique_ptr<CallerSimulator> m_callers;
   std::uint64_t m_configVersion = 0;
+  std::map<std::size_t, std::size_t> m_queuePools; ///< Pools of queues that have moved.
   std::uint64_t m_waveCount = 0;
   TimePoint m_calmStart{};
   bool m_mustAnswerAll = false; ///< Only planned work goes on: every request gets a response.
--- a/tests/soak/SoakRunPlanned.cpp
+++ b/tests/soak/SoakRunPlanned.cpp
@@ -165,6 +165,18 @@
   RunAfter(DrawPlanned(100, 3'000), [this] { ChangeConfigurations(); });
 }
 
+void SoakRun::MoveQueues()
+{
+  const auto draw = [this](int aMin, int aMax) {
+    return std::uniform_int_distribution<int>(aMin, aMax)(m_routeRandom);
+  };
+  for (std::size_t queue = 0; queue < kPoolCount; ++queue) {
+    m_queuePools[queue] = static_cast<std::size_t>(draw(0, static_cast<int>(kPoolCount) - 1));
+  }
+  WriteConfiguration();
+  RunAfter(Millis(draw(300, 3'000)), [this] { MoveQueues(); });
+}
+
 void SoakRun::StartWaves()
 {
   std::vector<std::string> machines = m_machines.MachineNames();
