Node: own the pools that a configuration has dropped before they had an owner

A job that is accepted for another pool goes there after it has been stored. If the configuration dropped that pool before a node had claimed it, no owner would ever take the job. All pools whose shards are known get owners now, and new jobs for a pool whose shards are not known yet are refused with 503.

Found by reading; the test fails without the change to PoolsToOwn(): no claim within 5 s.

--- a/include/mustardtray/job/Shards.h
+++ b/include/mustardtray/job/Shards.h
@@ -46,6 +46,8 @@
     m_shards[aPool] = std::move(aDivision);
   }
   bool Knows(const std::string& aPool) const { return m_shards.contains(aPool); }
+  /// Returns the names of the known pools.
+  std::vector<std::string> Pools() const;
   /// Returns the number of a pool's shards; 0 for an unknown pool.
   std::size_t Count(const std::string& aPool) const
   {
--- a/src/job/Shards.cpp
+++ b/src/job/Shards.cpp
@@ -116,6 +116,15 @@
   return std::max<std::size_t>(1, aMachines / kMachinesPerShard);
 }
 
+std::vector<std::string> ShardMap::Pools() const
+{
+  std::vector<std::string> pools;
+  for (const auto& [pool, division] : m_shards) {
+    pools.push_back(pool);
+  }
+  return pools;
+}
+
 std::vector<std::string> ShardMap::Names(const std::string& aPool) const
 {
   const auto found = m_shards.find(aPool);
--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -142,7 +142,9 @@
   }
   target.m_job = *id;
   target.m_pool = m_context.m_shards.Of(home->m_pool, *id);
-  if (aRequest->m_method == "POST") {
+  if (aRequest->m_method == "POST" && !m_context.m_shards.Knows(queue->m_pool)) {
+    aResponder.Send(Unavailable("the queue's pool is not known yet"));
+  } else if (aRequest->m_method == "POST") {
     Submit(*queue, *home, target, *aRequest, std::move(aResponder));
   } else if (aRequest->m_method == "GET") {
     SendJobState(target, std::move(aResponder));
--- a/src/node/MembershipClaims.cpp
+++ b/src/node/MembershipClaims.cpp
@@ -40,6 +40,12 @@
   for (const job::QueueSpec& queue : m_context.m_deployment.m_queues) {
     add(queue.m_pool);
   }
+  // Pools that the configuration has dropped may have jobs that were accepted, and no owner yet.
+  for (const std::string& pool : m_context.m_shards.Pools()) {
+    if (!m_context.m_deployment.FindPool(pool)) {
+      add(pool);
+    }
+  }
   // Pools that had an owner before may still have jobs.
   for (const auto& [pool, owner] : m_view.m_owners) {
     pools.insert(pool);
--- a/tests/node/MembershipTest.cpp
+++ b/tests/node/MembershipTest.cpp
@@ -250,3 +250,14 @@
   fixture.RunUntilClaimed(kMaxTime);
   CHECK(fixture.m_claimed.contains(kPool));
 }
+
+/// Guards against accepted jobs without an owner: a configuration drops their pool before any node
+/// has claimed it.
+TEST_CASE("a pool that the configuration has dropped is claimed if it has no owner yet")
+{
+  MembershipFixture fixture;
+  fixture.m_node.m_context.m_deployment.m_pools.clear();
+  fixture.StartMembership();
+  fixture.RunUntilClaimed(Millis(5'000));
+  CHECK(fixture.m_claimed.contains(kPool));
+}
--- a/tests/node/QueueMoveTest.cpp
+++ b/tests/node/QueueMoveTest.cpp
@@ -79,6 +79,16 @@
   CHECK(fixture.Call("GET", kNewJob).m_body == R"({"state":"cancelled"})");
 }
 
+TEST_CASE("new jobs for a pool whose shards are not known yet are refused, and others are found")
+{
+  QueueMoveFixture fixture;
+  REQUIRE(fixture.Submit(kJob) == 200);
+  fixture.SendQueueTo("pool-c", "first", 2);
+  CHECK(fixture.Submit(kNewJob) == 503);
+  CHECK(fixture.Call("GET", kJob).m_status == 200);
+  CHECK(fixture.Call("GET", "").m_body == R"({"waiting":1})");
+}
+
 TEST_CASE("a job that is being handed to its new pool is known, and a takeover repeats the move")
 {
   QueueMoveFixture fixture;
