Connection, node: count the bytes of calls by kind, and log the age of the configuration

HttpClient counts calls, abandoned calls and their bytes by kind; the node's listeners add theirs. Each node logs the kinds with most bytes in a line link-use every 5 s, and the version and the age of the configuration in force in its summary. No behaviour changes.

--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -11,6 +11,7 @@
 
 #include "mustardtray/connection/ConnectionSet.h"
 #include "mustardtray/connection/HttpMessage.h"
+#include "mustardtray/connection/TrafficMeter.h"
 #include "mustardtray/process/Error.h"
 #include "mustardtray/process/Time.h"
 
@@ -36,6 +37,7 @@
   std::shared_ptr<const ConnectionSet> m_allowedConnections;
   std::uint64_t m_maxResponseBytes = 64u << 20;
   std::string m_step = "http call"; ///< Step that is named in errors.
+  std::string m_kind;               ///< For TrafficMeter; empty: m_step.
   std::string m_caFile;             ///< For https: PEM file of the trusted certificate authority.
 };
 
@@ -73,6 +75,8 @@
   void Cancel(CallId aId);
   /// Number of calls in progress.
   std::size_t Running() const;
+  /// Traffic of the calls that have ended. Servers of the same node may add theirs.
+  TrafficMeter& Traffic();
 
 private:
   class Implementation;
--- a/include/mustardtray/connection/HttpServer.h
+++ b/include/mustardtray/connection/HttpServer.h
@@ -13,6 +13,7 @@
 #include <asio/io_context.hpp>
 
 #include "mustardtray/connection/HttpMessage.h"
+#include "mustardtray/connection/TrafficMeter.h"
 #include "mustardtray/process/Error.h"
 #include "mustardtray/process/Time.h"
 
@@ -49,6 +50,10 @@
   Millis m_handlerTimeout{ 120'000 };         ///< For the handler to send its response.
   std::optional<CallerLimits> m_callerLimits; ///< Not for TLS listeners.
   TlsFiles m_tls;                             ///< An empty certificate file selects plain TCP.
+  /// Counts requests and responses; nullptr: they are not counted. Must outlive all responders.
+  TrafficMeter* m_traffic = nullptr;
+  std::string m_trafficName;           ///< Begins the kinds under which they are counted.
+  bool m_isTrafficSplitByPath = false; ///< A kind for each path; only where these are few.
 };
 
 /// Sends the response to one request. Send() may be called from any thread; calls after the first
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "mustardtray/connection/HttpClient.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -101,6 +102,7 @@
     if (found == m_transfers.end()) {
       return;
     }
+    CountTraffic(*found->second, true);
     curl_multi_remove_handle(m_multi, found->second->m_easy);
     curl_easy_cleanup(found->second->m_easy);
     m_deadlines.erase({ found->second->m_deadline, aId });
@@ -108,6 +110,7 @@
   }
 
   std::size_t Running() const { return m_transfers.size(); }
+  TrafficMeter& Traffic() { return m_traffic; }
 
 private:
   struct SocketWatch
@@ -360,6 +363,7 @@
     curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
     transfer->m_response.m_status = static_cast<int>(status);
     std::optional<HttpCallFailure> failure = DetermineFailure(*transfer, aCode);
+    CountTraffic(*transfer, failure.has_value());
     curl_multi_remove_handle(m_multi, aEasy);
     ReleaseHandle(aEasy);
     if (failure) {
@@ -369,6 +373,24 @@
     }
   }
 
+  void CountTraffic(const Transfer& aTransfer, bool aIsAbandoned)
+  {
+    long requestBytes = 0;
+    long headerBytes = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_HEADER_SIZE, &headerBytes);
+    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    const HttpCall& call = aTransfer.m_call;
+    // The size of the request includes what was sent of the body together with the header.
+    m_traffic.Add(call.m_kind.empty() ? call.m_step : call.m_kind,
+                  static_cast<std::uint64_t>(std::max<curl_off_t>(requestBytes, uploaded)),
+                  static_cast<std::uint64_t>(headerBytes + downloaded),
+                  aIsAbandoned);
+  }
+
   static std::optional<HttpCallFailure> DetermineFailure(const Transfer& aTransfer, CURLcode aCode)
   {
     if (aCode == CURLE_OK) {
@@ -418,6 +440,7 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> m_socketWatches;
   std::vector<CURL*> m_handlePool;
   ConnectionNumbers m_connectionNumbers;
+  TrafficMeter m_traffic;
 };
 
 HttpClient::HttpClient(asio::io_context& aContext, std::string aLocalAddress)
@@ -445,6 +468,11 @@
   return m_implementation->Running();
 }
 
+TrafficMeter& HttpClient::Traffic()
+{
+  return m_implementation->Traffic();
+}
+
 HttpCallResult CallAndWait(HttpCall aCall)
 {
   asio::io_context context;
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -165,6 +165,49 @@
   std::atomic<bool> m_isSent{ false };
 };
 
+/// Separators and the status line of a message, and the headers that the server adds.
+constexpr std::size_t kMessageOverheadBytes = 100;
+
+std::size_t MessageBytes(const HttpHeaders& aHeaders, const std::string& aBody)
+{
+  std::size_t bytes = kMessageOverheadBytes + aBody.size();
+  for (const HttpHeader& header : aHeaders) {
+    bytes += header.m_name.size() + header.m_value.size();
+  }
+  return bytes;
+}
+
+/// Counts a request and its response when the response is sent.
+class CountingSink : public HttpResponder::Sink
+{
+public:
+  CountingSink(HttpResponder aNext,
+               TrafficMeter& aTraffic,
+               std::string aKind,
+               std::size_t aReceived)
+    : m_next(std::move(aNext))
+    , m_traffic(aTraffic)
+    , m_kind(std::move(aKind))
+    , m_received(aReceived)
+  {
+  }
+
+  void Send(HttpResponse aResponse) override
+  {
+    if (!m_isSent.exchange(true)) {
+      m_traffic.Add(m_kind, MessageBytes(aResponse.m_headers, aResponse.m_body), m_received);
+    }
+    m_next.Send(std::move(aResponse));
+  }
+
+private:
+  HttpResponder m_next;
+  TrafficMeter& m_traffic;
+  std::string m_kind;
+  std::size_t m_received;
+  std::atomic<bool> m_isSent{ false };
+};
+
 HttpRequest ConvertRequest(restinio::request_t& aRequest)
 {
   HttpRequest request;
@@ -292,6 +335,16 @@
     RequestSink(m_context, std::move(aRequest), m_state).Send(std::move(response));
   }
 
+  HttpResponder Count(const HttpRequest& aRequest, HttpResponder aResponder) const
+  {
+    return HttpResponder(std::make_shared<CountingSink>(
+      std::move(aResponder),
+      *m_options.m_traffic,
+      m_options.m_trafficName + " " +
+        (m_options.m_isTrafficSplitByPath ? aRequest.m_path : aRequest.m_method),
+      MessageBytes(aRequest.m_headers, aRequest.m_body) + aRequest.m_path.size()));
+  }
+
   std::size_t MaxLingering() const
   {
     return m_options.m_callerLimits
@@ -354,9 +407,12 @@
         HttpRequest request = ConvertRequest(*aRequest);
         if (!m_options.m_tls.m_certificateFile.empty() ||
             request.m_body.size() <= m_connections->MaxBodyBytes()) {
-          m_handler(
-            std::move(request),
-            HttpResponder(std::make_shared<RequestSink>(m_context, std::move(aRequest), m_state)));
+          HttpResponder responder(
+            std::make_shared<RequestSink>(m_context, std::move(aRequest), m_state));
+          if (m_options.m_traffic) {
+            responder = Count(request, std::move(responder));
+          }
+          m_handler(std::move(request), std::move(responder));
         } else {
           SendBodyTooLong(std::move(aRequest));
         }
--- a/src/node/ListenerOptions.cpp
+++ b/src/node/ListenerOptions.cpp
@@ -56,6 +56,7 @@
                std::max(limits.m_maxHeldBytes / kConnectionBytes, kMinConnections));
   }
   options.m_callerLimits = limits;
+  options.m_trafficName = aShare.m_listener;
   return options;
 }
 
@@ -77,6 +78,7 @@
     MakeOptions(aSettings, { "peers", kPeerDescriptorDivisor, kPeerMemoryDivisor, kMinOtherBytes });
   options.m_address = aSettings.m_ip;
   options.m_port = aSettings.m_firstPeerPort;
+  options.m_isTrafficSplitByPath = true;
   const std::size_t heldBytes = options.m_callerLimits->m_maxHeldBytes;
   options.m_maxBodyBytes =
     heldBytes > 0 ? std::min<std::uint64_t>(kMaxPeerMessageBytes, heldBytes) : kMaxPeerMessageBytes;
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -157,6 +157,7 @@
                      HttpServerOptions aOptions,
                      HttpHandler aHandler)
   {
+    aOptions.m_traffic = &m_http.Traffic();
     aServer = std::make_unique<HttpServer>(m_io, std::move(aOptions), std::move(aHandler));
     const auto started = aServer->Start();
     if (!started) {
--- a/src/node/NodeMonitor.cpp
+++ b/src/node/NodeMonitor.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kMinLoggedDelay{ 50 };
 constexpr Millis kDelayLogPeriod{ 1'000 };
 constexpr Millis kSummaryPeriod{ 5'000 };
+/// Kinds of calls in a line about the traffic, those with most bytes.
+constexpr std::size_t kMaxLoggedKinds = 12;
 
 Micros ProcessorTime()
 {
@@ -84,7 +86,25 @@
       "pools",
       m_countPools(),
       "lease-left-ms",
-      m_context.m_lease.Remaining().count());
+      m_context.m_lease.Remaining().count(),
+      "configuration-version",
+      m_context.m_deployment.m_version,
+      "configuration-age-ms",
+      ConfigurationAge(m_context).count());
+  const TrafficCount& total = m_context.m_http.Traffic().Total();
+  Log(LogCategory::Process,
+      LogLevel::Info,
+      "link-use",
+      "sent",
+      total.m_sent,
+      "received",
+      total.m_received,
+      "wasted",
+      total.m_wasted,
+      "running",
+      m_context.m_http.Running(),
+      "kinds", // Calls, abandoned calls, and bytes sent, received and wasted, since the last line.
+      m_context.m_http.Traffic().TakeSummary(kMaxLoggedKinds));
 }
 
 } // namespace mustardtray::node
