--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -124,8 +124,12 @@
         }
       });
   };
-  if (m_fault == LinkFault::Delayed) {
-    timer = m_timers.After(kForwardDelay, write);
+  Micros delay = m_fault == LinkFault::Delayed ? kForwardDelay : Micros{ 0 };
+  if (m_link) {
+    delay += m_link->Reserve(aIsResponse, aBytes, MonotonicNow());
+  }
+  if (delay.count() > 0) {
+    timer = m_timers.After(delay, write);
   } else {
     write();
   }
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// TCP proxy on the loopback interface between one node and one port. It injects network faults
-/// without the cooperation of either side: delays, stalls in both or only one direction, and
-/// resets.
+/// without the cooperation of either side: delays, stalls in both or only one direction, resets,
+/// and a link of limited speed.
 
 #include <list>
 #include <memory>
@@ -12,6 +12,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include "mustardtray/process/TimerService.h"
+#include "tests/soak/PacedLink.h"
 
 namespace mustardtray::soak {
 
@@ -30,6 +31,8 @@
 
   std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
   void SetFault(LinkFault aFault) { m_fault = aFault; }
+  /// Bytes share this link with those of other proxies; nullptr: no limit. Must outlive this proxy.
+  void SetLink(PacedLink* aLink) { m_link = aLink; }
   /// Resets every open connection.
   void ResetConnections();
 
@@ -46,6 +49,7 @@
   std::uint16_t m_targetPort;
   asio::ip::tcp::acceptor m_acceptor;
   LinkFault m_fault = LinkFault::None;
+  PacedLink* m_link = nullptr;
   std::list<std::weak_ptr<Connection>> m_connections;
 };
 
