Node: read the operator's rows again after a failed poll

A node whose feed of the operator's table failed asked for the changes again from where it was. The answer has each version that the node lacks, whole, so on a narrow link it did not arrive within the time-out, and grew with each further change: 61 versions of 10 kB were not in force 2 s after an outage on a link of 2 Mbit/s. A read returns the newest row alone.

--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -137,7 +137,8 @@
     });
     m_operatorFollower = std::make_unique<TableFollower>(
       m_context,
-      TableFollowerOptions{ platform::kOperatorTable, true, OperatorPollWait(), Millis{ 0 } },
+      TableFollowerOptions{
+        platform::kOperatorTable, true, OperatorPollWait(), Millis{ 0 }, false, true },
       [this](const std::vector<platform::Row>& aRows, bool) { OnOperatorRows(aRows); });
     WaitForSignal();
     Log(LogCategory::Process,
--- a/src/node/TableFollower.cpp
+++ b/src/node/TableFollower.cpp
@@ -177,7 +177,13 @@
         return;
       }
       if (!aPage) {
-        RetryLater(aPage.error(), [this] { Follow(); });
+        RetryLater(aPage.error(), [this] {
+          if (m_options.m_readsAfterFailure) {
+            ReadAll();
+          } else {
+            Follow();
+          }
+        });
         return;
       }
       m_backoff.Reset();
--- a/src/node/TableFollower.h
+++ b/src/node/TableFollower.h
@@ -22,6 +22,9 @@
   /// Reports changes from now on and not the rows that exist already. For tables whose rows are all
   /// written again within a short time.
   bool m_onlyChanges = false;
+  /// Reads all rows again after a failed poll. For small tables whose rows are written again: the
+  /// changes that are missing may be far longer than the rows.
+  bool m_readsAfterFailure = false;
 };
 
 class TableFollower
--- a/tests/node/NarrowLinkTest.cpp
+++ b/tests/node/NarrowLinkTest.cpp
@@ -53,7 +53,8 @@
     m_store.Put(platform::kOperatorTable, platform::kDeploymentKey, MakeConfiguration(1));
     m_follower = std::make_unique<TableFollower>(
       m_node->m_context,
-      TableFollowerOptions{ platform::kOperatorTable, true, Millis{ 900 }, Millis{ 0 } },
+      TableFollowerOptions{
+        platform::kOperatorTable, true, Millis{ 900 }, Millis{ 0 }, false, true },
       [this](const std::vector<platform::Row>& aRows, bool) {
         for (const platform::Row& row : aRows) {
           m_relay->Apply(row.m_value, "store");
