Connection: hand calls to a node's link at its speed, the urgent ones first

On a link of 2 Mbit/s a configuration was not in force 2 s after it was stored while starts of four times the link's rate were ordered: the feed's calls, renewals of the node's lease and lease extensions of minions waited on the link behind whatever else was sent (CONFIG, and by lapsed leases LOST and AVAIL). Nothing limited what a node had under way, and a call that timed out was sent again behind its former try.

HttpClient now has a queue for the link, whose speed the settings name (limits.link_mbps). Calls without a priority are sent at once: they are small, and leases and the configuration depend on them. Transactions of owners and starts of long-running units come first among the others, then starts, then jobs for other owners and the inbox. A call that has waited for too long fails without having been sent, which is known to have had no effect; a job that cannot be sent is refused with 429 at once. Batches of an owner and first pages of reads are bounded by what the link carries in a quarter of their time-outs.

--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "mustardtray/connection/CallPriority.h"
 #include "mustardtray/connection/ConnectionSet.h"
 #include "mustardtray/connection/HttpMessage.h"
 #include "mustardtray/connection/TrafficMeter.h"
@@ -24,7 +25,12 @@
   std::string m_url; ///< Absolute; the host is an IP address with a port.
   HttpHeaders m_headers;
   std::string m_body;
-  Millis m_timeout{ 5'000 }; ///< From the start of the call to the last byte of the response.
+  /// From the time when the request is handed to the link to the last byte of the response, beyond
+  /// the time that the link needs for the request.
+  Millis m_timeout{ 5'000 };
+  CallPriority m_priority = CallPriority::Immediate;
+  /// Longest wait for the link, of calls that are not immediate.
+  Millis m_maxLinkWait{ 1'000 };
   Millis m_connectTimeout{ 1'000 }; ///< For establishing the connection.
   /// Opens a new connection for this call, so that the request is sent at most once. Required for a
   /// request that is not idempotent: libcurl resends a request when the peer has closed the
@@ -50,6 +56,7 @@
   bool m_isNotSent = false;
   /// None of HttpCall::m_allowedConnections was free; another one was closed.
   bool m_lacksConnection = false;
+  bool m_isLinkBusy = false; ///< The call has waited for the link for HttpCall::m_maxLinkWait.
 };
 
 using HttpCallResult = boost::outcome_v2::
@@ -62,8 +69,10 @@
 {
 public:
   /// aLocalAddress is the local IP address that connections are bound to; empty lets the system
-  /// choose.
-  explicit HttpClient(asio::io_context& aContext, std::string aLocalAddress = {});
+  /// choose. aLinkBytesPerSecond: speed of the link that the requests share; 0: no limit.
+  explicit HttpClient(asio::io_context& aContext,
+                      std::string aLocalAddress = {},
+                      double aLinkBytesPerSecond = 0);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -73,6 +82,8 @@
   /// Aborts a call and closes its connection without invoking the callback. Does nothing when the
   /// call has already finished.
   void Cancel(CallId aId);
+  /// Time after which a call of low priority would have been sent.
+  Micros LinkDelay() const;
   /// Number of calls in progress.
   std::size_t Running() const;
   /// Traffic of the calls that have ended. Servers of the same node may add theirs.
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -14,6 +14,7 @@
 #include <curl/curl.h>
 
 #include "connection/HttpTransfer.h"
+#include "connection/LinkQueue.h"
 
 namespace mustardtray {
 
@@ -33,10 +34,12 @@
 class HttpClient::Implementation : public std::enable_shared_from_this<HttpClient::Implementation>
 {
 public:
-  Implementation(asio::io_context& aContext, std::string aLocalAddress)
+  Implementation(asio::io_context& aContext, std::string aLocalAddress, double aLinkBytesPerSecond)
     : m_context(aContext)
     , m_timer(aContext)
     , m_deadlineTimer(aContext)
+    , m_linkTimer(aContext)
+    , m_linkQueue(aLinkBytesPerSecond)
     , m_localAddress(std::move(aLocalAddress))
   {
     InitializeCurl();
@@ -58,8 +61,10 @@
       return;
     }
     for (auto& [id, transfer] : m_transfers) {
-      curl_multi_remove_handle(m_multi, transfer->m_easy);
-      curl_easy_cleanup(transfer->m_easy);
+      if (transfer->m_easy) {
+        curl_multi_remove_handle(m_multi, transfer->m_easy);
+        curl_easy_cleanup(transfer->m_easy);
+      }
     }
     m_transfers.clear();
     for (CURL* easy : m_handlePool) {
@@ -70,6 +75,7 @@
     m_multi = nullptr;
     m_timer.cancel();
     m_deadlineTimer.cancel();
+    m_linkTimer.cancel();
     m_deadlines.clear();
     m_socketWatches.clear();
   }
@@ -77,21 +83,20 @@
   CallId Start(HttpCall aCall, HttpCallback aCallback)
   {
     auto transfer = std::make_unique<Transfer>();
-    transfer->m_id = ++m_lastId;
+    const CallId id = ++m_lastId;
+    transfer->m_id = id;
     transfer->m_call = std::move(aCall);
     transfer->m_callback = std::move(aCallback);
-    transfer->m_headers = MakeHeaderList(transfer->m_call.m_headers);
-    transfer->m_easy = AcquireHandle();
     transfer->m_connectionNumbers = &m_connectionNumbers;
-    SetOptions(*transfer);
-    CURL* easy = transfer->m_easy;
-    const CallId id = transfer->m_id;
-    transfer->m_deadline = std::chrono::steady_clock::now() + transfer->m_call.m_timeout;
-    m_deadlines.emplace(transfer->m_deadline, id);
-    m_transfers.emplace(id, std::move(transfer));
-    curl_multi_add_handle(m_multi, easy);
-    if (m_deadlines.begin()->second == id) {
-      ArmDeadlineTimer();
+    Transfer& started = *m_transfers.emplace(id, std::move(transfer)).first->second;
+    const HttpCall& call = started.m_call;
+    if (m_linkQueue.MustWait(call.m_priority, MonotonicNow())) {
+      started.m_isWaitingForLink = true;
+      m_linkQueue.Push(id, call.m_priority, call.m_body.size());
+      SetDeadline(started, call.m_maxLinkWait);
+      ArmLinkTimer();
+    } else {
+      Send(started);
     }
     return id;
   }
@@ -102,13 +107,18 @@
     if (found == m_transfers.end()) {
       return;
     }
-    CountTraffic(*found->second, true);
-    curl_multi_remove_handle(m_multi, found->second->m_easy);
-    curl_easy_cleanup(found->second->m_easy);
+    if (found->second->m_isWaitingForLink) {
+      m_linkQueue.Remove(aId);
+    } else {
+      CountTraffic(*found->second, true, m_traffic);
+      curl_multi_remove_handle(m_multi, found->second->m_easy);
+      curl_easy_cleanup(found->second->m_easy);
+    }
     m_deadlines.erase({ found->second->m_deadline, aId });
     m_transfers.erase(found);
   }
 
+  Micros LinkDelay() const { return m_linkQueue.Delay(MonotonicNow()); }
   std::size_t Running() const { return m_transfers.size(); }
   TrafficMeter& Traffic() { return m_traffic; }
 
@@ -131,6 +141,60 @@
     bool m_isWaitingForWrite = false;
   };
 
+  void Send(Transfer& aTransfer)
+  {
+    aTransfer.m_isWaitingForLink = false;
+    const HttpCall& call = aTransfer.m_call;
+    aTransfer.m_headers = MakeHeaderList(call.m_headers);
+    aTransfer.m_easy = AcquireHandle();
+    SetOptions(aTransfer, m_localAddress);
+    m_linkQueue.OnSent(call.m_body.size(), MonotonicNow());
+    SetDeadline(aTransfer, call.m_timeout + m_linkQueue.TransferTime(call.m_body.size()));
+    curl_multi_add_handle(m_multi, aTransfer.m_easy);
+  }
+
+  void SetDeadline(Transfer& aTransfer, Micros aTime)
+  {
+    m_deadlines.erase({ aTransfer.m_deadline, aTransfer.m_id });
+    aTransfer.m_deadline = std::chrono::steady_clock::now() + aTime;
+    m_deadlines.emplace(aTransfer.m_deadline, aTransfer.m_id);
+    if (m_deadlines.begin()->second == aTransfer.m_id) {
+      ArmDeadlineTimer();
+    }
+  }
+
+  void ArmLinkTimer()
+  {
+    m_linkTimer.expires_after(m_linkQueue.NextPopAt() - MonotonicNow());
+    m_linkTimer.async_wait([weak = weak_from_this()](const asio::error_code& aError) {
+      const auto self = weak.lock();
+      if (!aError && self) {
+        self->SendWaiting();
+      }
+    });
+  }
+
+  void SendWaiting()
+  {
+    while (const std::optional<CallId> next = m_linkQueue.Pop(MonotonicNow())) {
+      Send(*m_transfers.at(*next));
+    }
+    if (!m_linkQueue.IsEmpty()) {
+      ArmLinkTimer();
+    }
+  }
+
+  /// Ends a call that has waited for the link for too long.
+  void RefuseWaiting(CallId aId)
+  {
+    const auto found = m_transfers.find(aId);
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    m_transfers.erase(found);
+    m_deadlines.erase({ transfer->m_deadline, aId });
+    m_linkQueue.Remove(aId);
+    transfer->m_callback(MakeLinkBusyFailure(*transfer));
+  }
+
   CURL* AcquireHandle()
   {
     if (m_handlePool.empty()) {
@@ -151,58 +215,6 @@
     m_handlePool.push_back(aEasy);
   }
 
-  void SetOptions(Transfer& aTransfer)
-  {
-    CURL* easy = aTransfer.m_easy;
-    const HttpCall& call = aTransfer.m_call;
-    curl_easy_setopt(easy, CURLOPT_URL, call.m_url.c_str());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.m_headers.get());
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
-    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &aTransfer);
-    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CloseWithReset);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(
-      easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.m_connectTimeout.count()));
-    if (!m_localAddress.empty()) {
-      curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + m_localAddress).c_str());
-    }
-    if (!call.m_caFile.empty()) {
-      curl_easy_setopt(easy, CURLOPT_CAINFO, call.m_caFile.c_str());
-    }
-    if (call.m_freshConnection) {
-      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
-    SetMethod(easy, call);
-  }
-
-  static void SetMethod(CURL* aEasy, const HttpCall& aCall)
-  {
-    if (aCall.m_method == "HEAD") {
-      curl_easy_setopt(aEasy, CURLOPT_NOBODY, 1L);
-      return;
-    }
-    const bool isPlainGet = aCall.m_method == "GET" && aCall.m_body.empty();
-    if (isPlainGet) {
-      return;
-    }
-    curl_easy_setopt(aEasy, CURLOPT_POST, 1L);
-    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, aCall.m_body.data());
-    curl_easy_setopt(
-      aEasy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(aCall.m_body.size()));
-    curl_easy_setopt(aEasy, CURLOPT_CUSTOMREQUEST, aCall.m_method.c_str());
-  }
-
   static int OnSocketUpdate(CURL*, curl_socket_t aSocket, int aEvents, void* aSelf, void*)
   {
     static_cast<Implementation*>(aSelf)->WatchSocket(aSocket, aEvents);
@@ -248,7 +260,12 @@
   {
     const auto now = std::chrono::steady_clock::now();
     while (m_multi && !m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-      Finish(m_transfers.at(m_deadlines.begin()->second)->m_easy, CURLE_OPERATION_TIMEDOUT);
+      const Transfer& late = *m_transfers.at(m_deadlines.begin()->second);
+      if (late.m_isWaitingForLink) {
+        RefuseWaiting(late.m_id);
+      } else {
+        Finish(late.m_easy, CURLE_OPERATION_TIMEDOUT);
+      }
     }
     if (m_multi && !m_deadlines.empty()) {
       ArmDeadlineTimer();
@@ -363,7 +380,7 @@
     curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
     transfer->m_response.m_status = static_cast<int>(status);
     std::optional<HttpCallFailure> failure = DetermineFailure(*transfer, aCode);
-    CountTraffic(*transfer, failure.has_value());
+    CountTraffic(*transfer, failure.has_value(), m_traffic);
     curl_multi_remove_handle(m_multi, aEasy);
     ReleaseHandle(aEasy);
     if (failure) {
@@ -373,64 +390,11 @@
     }
   }
 
-  void CountTraffic(const Transfer& aTransfer, bool aIsAbandoned)
-  {
-    long requestBytes = 0;
-    long headerBytes = 0;
-    curl_off_t uploaded = 0;
-    curl_off_t downloaded = 0;
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_HEADER_SIZE, &headerBytes);
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
-    const HttpCall& call = aTransfer.m_call;
-    // The size of the request includes what was sent of the body together with the header.
-    m_traffic.Add(call.m_kind.empty() ? call.m_step : call.m_kind,
-                  static_cast<std::uint64_t>(std::max<curl_off_t>(requestBytes, uploaded)),
-                  static_cast<std::uint64_t>(headerBytes + downloaded),
-                  aIsAbandoned);
-  }
-
-  static std::optional<HttpCallFailure> DetermineFailure(const Transfer& aTransfer, CURLcode aCode)
-  {
-    if (aCode == CURLE_OK) {
-      if (aTransfer.m_hasDeclaredLength || MustHaveNoBody(aTransfer)) {
-        return std::nullopt;
-      }
-      return MakeFailure(aTransfer, ErrorKind::Unknown, "response without a length", false);
-    }
-    curl_off_t connectTime = 0;
-    long requestBytes = 0;
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_CONNECT_TIME_T, &connectTime);
-    curl_easy_getinfo(aTransfer.m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
-    const bool lacksConnection = aTransfer.m_lacksConnection && aTransfer.m_requestsSent == 0;
-    const bool isNotSent =
-      lacksConnection || (connectTime == 0 && requestBytes == 0 && aTransfer.m_requestsSent == 0);
-    if (aTransfer.m_isTooLarge) {
-      return MakeFailure(aTransfer, ErrorKind::Unknown, "response exceeds the size limit", false);
-    }
-    return MakeFailure(aTransfer,
-                       isNotSent ? ErrorKind::Unavailable : ErrorKind::Unknown,
-                       lacksConnection ? "no allowed connection is free"
-                                       : curl_easy_strerror(aCode),
-                       isNotSent,
-                       lacksConnection);
-  }
-
-  static HttpCallFailure MakeFailure(const Transfer& aTransfer,
-                                     ErrorKind aKind,
-                                     std::string aMessage,
-                                     bool aNotSent,
-                                     bool aLacksConnection = false)
-  {
-    return { Error{ aKind, aTransfer.m_call.m_step, aTransfer.m_call.m_url, std::move(aMessage) },
-             aNotSent,
-             aLacksConnection };
-  }
-
   asio::io_context& m_context;
   asio::steady_timer m_timer;
   asio::steady_timer m_deadlineTimer;
+  asio::steady_timer m_linkTimer;
+  LinkQueue m_linkQueue;
   std::string m_localAddress;
   CURLM* m_multi = nullptr;
   CallId m_lastId = 0;
@@ -443,8 +407,11 @@
   TrafficMeter m_traffic;
 };
 
-HttpClient::HttpClient(asio::io_context& aContext, std::string aLocalAddress)
-  : m_implementation(std::make_shared<Implementation>(aContext, std::move(aLocalAddress)))
+HttpClient::HttpClient(asio::io_context& aContext,
+                       std::string aLocalAddress,
+                       double aLinkBytesPerSecond)
+  : m_implementation(
+      std::make_shared<Implementation>(aContext, std::move(aLocalAddress), aLinkBytesPerSecond))
 {
 }
 
@@ -463,6 +430,11 @@
   m_implementation->Cancel(aId);
 }
 
+Micros HttpClient::LinkDelay() const
+{
+  return m_implementation->LinkDelay();
+}
+
 std::size_t HttpClient::Running() const
 {
   return m_implementation->Running();
--- a/src/connection/HttpTransfer.h
+++ b/src/connection/HttpTransfer.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include <curl/curl.h>
 
@@ -31,6 +32,7 @@
   HeaderList m_headers;
   CURL* m_easy = nullptr;
   std::chrono::steady_clock::time_point m_deadline{};
+  bool m_isWaitingForLink = false;
   bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
   bool m_isTooLarge = false;
   int m_requestsSent = 0;
@@ -39,6 +41,8 @@
   bool m_lacksConnection = false; ///< See HttpCallFailure.
 };
 
+/// Sets libcurl's options for the call.
+void SetOptions(Transfer& aTransfer, const std::string& aLocalAddress);
 /// libcurl's callback for a part of the response's body. aTransfer is the Transfer.
 std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
 /// libcurl's callback for a line of the response's header. aTransfer is the Transfer.
@@ -50,6 +54,9 @@
 /// Closes with a reset. A plain close lets the kernel deliver unsent data long after the call was
 /// aborted: an order that was delayed by a network partition must not arrive when it heals.
 int CloseWithReset(void*, curl_socket_t aSocket);
-bool MustHaveNoBody(const Transfer& aTransfer);
+/// Returns why a call whose transfer has ended has no response, or nothing when it has one.
+std::optional<HttpCallFailure> DetermineFailure(const Transfer& aTransfer, CURLcode aCode);
+HttpCallFailure MakeLinkBusyFailure(const Transfer& aTransfer);
+void CountTraffic(const Transfer& aTransfer, bool aIsAbandoned, TrafficMeter& aMeter);
 
 } // namespace mustardtray
--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -17,6 +17,10 @@
 constexpr Millis kOwnerTimeout{ 1'500 };
 /// A connection that fails is detected sooner.
 constexpr Millis kOwnerConnectTimeout{ 400 };
+/// A job that cannot be sent by then is refused, so that its caller can ask another node.
+constexpr Millis kMaxSubmitWait{ 300 };
+/// Returned to the caller when the link is full; a burst of jobs has been sent by then.
+constexpr Millis kBusyRetryAfter{ 1'000 };
 constexpr Millis kStoreTimeout{ 1'000 };
 constexpr Millis kMinStoreTimeout{ 200 };
 /// Before the caller's deadline, for the way of the response.
@@ -253,8 +257,15 @@
   HttpCall call =
     MakePeerCall(address, kPeerSubmitPath, EncodeSubmitRequest(aPool, aRecord), kOwnerTimeout);
   call.m_connectTimeout = kOwnerConnectTimeout;
+  call.m_priority = CallPriority::Low;
+  call.m_maxLinkWait = kMaxSubmitWait;
   m_context.m_http.Start(
     std::move(call), [id = aRecord.m_id, done = std::move(aDone)](HttpCallResult aResult) {
+      if (!aResult && aResult.error().m_isLinkBusy) {
+        Log(LogCategory::Placement, LogLevel::Info, "job-refused", "job", id, "reason", "link");
+        done({ SubmitOutcome::Refused, kBusyRetryAfter });
+        return;
+      }
       if (!aResult) {
         Log(LogCategory::Placement,
             LogLevel::Warning,
@@ -287,6 +298,7 @@
                 Backoff(kFirstInboxRetryDelay, kLongestInboxRetryDelay),
                 {} });
   platform::Transaction& transaction = write->m_transaction;
+  transaction.m_priority = CallPriority::Low;
   transaction.m_preconditions.push_back({ { kJobTable, aTarget.m_pool, aRecord.m_id }, 0 });
   transaction.m_preconditions.push_back({ { kInboxTable, aTarget.m_pool, aRecord.m_id }, 0 });
   transaction.m_preconditions.push_back({ { kForwardTable, aTarget.m_pool, aRecord.m_id }, 0 });
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <string>
 
 #include <asio/io_context.hpp>
@@ -84,6 +85,17 @@
   return aContext.m_settings.m_hasAccounts || !aContext.m_deployment.m_accounts.empty();
 }
 
+/// Bytes that the node's link carries in a time, in each direction; no limit where its speed is not
+/// known.
+inline std::size_t LinkBytes(const NodeContext& aContext, Millis aTime)
+{
+  constexpr double kMillisPerSecond = 1'000.0;
+  const double speed = aContext.m_settings.m_linkBytesPerSecond;
+  return speed > 0
+           ? static_cast<std::size_t>(speed * static_cast<double>(aTime.count()) / kMillisPerSecond)
+           : std::numeric_limits<std::size_t>::max();
+}
+
 /// Time since the configuration was last confirmed. It includes the time for which the machine was
 /// suspended.
 inline Millis ConfigurationAge(const NodeContext& aContext)
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -74,7 +74,7 @@
   explicit NodeDaemon(const platform::NodeSettings& aSettings)
     : m_settings(aSettings)
     , m_timers(m_io)
-    , m_http(m_io)
+    , m_http(m_io, {}, aSettings.m_linkBytesPerSecond)
     , m_store(m_http, aSettings.m_store)
     , m_minionClient(m_http, aSettings.m_advisor)
     , m_machineClient(m_http, aSettings.m_machineApi)
@@ -375,17 +375,17 @@
       aDone(Error{ ErrorKind::Unavailable, "query pool owner", pool, "no owner is known" });
       return;
     }
-    HttpCall call =
-      MakePeerCall(address, kPeerFleetPath, EncodeFleetSyncRequest(aRequest), kPeerCallTimeout);
-    m_http.Start(std::move(call), [address, done = std::move(aDone)](HttpCallResult aResult) {
-      if (!aResult) {
-        done(aResult.error().m_error);
-      } else if (aResult.value().m_status != 200) {
-        done(Error{ ErrorKind::Refused, "query pool owner", address, "not the owner" });
-      } else {
-        done(DecodeFleetReport(aResult.value().m_body));
-      }
-    });
+    m_http.Start(
+      MakePeerCall(address, kPeerFleetPath, EncodeFleetSyncRequest(aRequest), kPeerCallTimeout),
+      [address, done = std::move(aDone)](HttpCallResult aResult) {
+        if (!aResult) {
+          done(aResult.error().m_error);
+        } else if (aResult.value().m_status != 200) {
+          done(Error{ ErrorKind::Refused, "query pool owner", address, "not the owner" });
+        } else {
+          done(DecodeFleetReport(aResult.value().m_body));
+        }
+      });
   }
 
   // Stopping.
--- a/src/node/PartitionReader.cpp
+++ b/src/node/PartitionReader.cpp
@@ -12,11 +12,21 @@
 constexpr Micros kReadRetryDelay{ 150'000 };
 /// Most rows in a page, so that a transfer leaves room for the node's other calls.
 constexpr std::size_t kPageRows = 100;
+/// Length of a row for the size of the first page, before any row is known.
+constexpr std::size_t kAssumedRowBytes = 5'000;
+/// Part of the time-out that the first page may take on the node's link.
+constexpr Millis kPageTransferTime = kReadTimeout / 4;
 /// After a failed read, which may have been too slow, the next page has this part of the rows.
 constexpr std::size_t kPageDivisor = 4;
 /// After a read within half of the time-out, one of this many times the rows should not exceed it.
 constexpr std::size_t kPageGrowth = 2;
 
+std::size_t FirstPageRows(const NodeContext& aContext)
+{
+  return std::clamp<std::size_t>(
+    LinkBytes(aContext, kPageTransferTime) / kAssumedRowBytes, 1, kPageRows);
+}
+
 } // namespace
 
 PartitionReader::PartitionReader(NodeContext& aContext,
@@ -32,18 +42,32 @@
                                 RowsCallback aOnRows,
                                 std::function<void()> aDone)
 {
-  ReadPage(m_reads.insert(
-    m_reads.end(),
-    { aTable, "", "", std::move(aOnRows), std::move(aDone), {}, {}, kPageRows, {} }));
+  ReadPage(m_reads.insert(m_reads.end(),
+                          { aTable,
+                            "",
+                            "",
+                            std::move(aOnRows),
+                            std::move(aDone),
+                            {},
+                            {},
+                            FirstPageRows(m_context),
+                            {} }));
 }
 
 void PartitionReader::ReadValue(const std::string& aTable,
                                 const std::string& aKey,
                                 RowsCallback aOnRows)
 {
-  ReadPage(m_reads.insert(
-    m_reads.end(),
-    { aTable, aKey, EndOfParts(aKey), std::move(aOnRows), [] {}, {}, {}, kPageRows, {} }));
+  ReadPage(m_reads.insert(m_reads.end(),
+                          { aTable,
+                            aKey,
+                            EndOfParts(aKey),
+                            std::move(aOnRows),
+                            [] {},
+                            {},
+                            {},
+                            FirstPageRows(m_context),
+                            {} }));
 }
 
 void PartitionReader::ReadPage(ReadIterator aRead)
--- a/src/node/PoolBatchWriter.cpp
+++ b/src/node/PoolBatchWriter.cpp
@@ -16,6 +16,9 @@
 constexpr Millis kSendInterval{ 25 };
 constexpr Millis kCommitTimeout{ 1'000 };
 constexpr Micros kRetryDelay{ 100'000 };
+/// Part of the time-out that the values of a batch may take on the node's link, since they are sent
+/// in an encoding that is a third longer and beside other calls.
+constexpr Millis kBatchTransferTime = kCommitTimeout / 4;
 
 std::uint64_t ParseSequence(const std::string& aText)
 {
@@ -107,6 +110,8 @@
 void PoolBatchWriter::FillBatch()
 {
   const std::size_t partBytes = MaxPartBytes(m_context.m_settings.m_maxRowBytes);
+  const std::size_t maxBytes =
+    std::min(kMaxBytesPerTransaction, LinkBytes(m_context, kBatchTransferTime));
   std::size_t bytes = 0;
   std::size_t rows = 0;
   const auto isRejected = [this](const auto& aEntry) {
@@ -127,7 +132,7 @@
     row.m_parts = row.m_value ? CountParts(valueBytes, partBytes) : 0;
     const std::size_t changedRows = std::max(row.m_parts, StoredParts(first->first));
     const bool isFull = rows + changedRows > kMaxRowsPerTransaction ||
-                        bytes + valueBytes > kMaxBytesPerTransaction || m_singleRowTransactions > 0;
+                        bytes + valueBytes > maxBytes || m_singleRowTransactions > 0;
     if (!m_batch.empty() && isFull) {
       break;
     }
@@ -162,6 +167,7 @@
 void PoolBatchWriter::SendBatch()
 {
   m_transaction = {};
+  m_transaction.m_priority = CallPriority::High;
   m_transaction.m_preconditions.push_back(
     { { kOwnerTable, m_pool, kSingleRowKey }, m_ownerVersion });
   m_transaction.m_preconditions.push_back({ { kHeadTable, m_pool, kSingleRowKey }, m_headVersion });
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -148,6 +148,8 @@
   void LogLocalityWaits(const job::PoolOrders& aOrders);
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
+  /// Starts of long-running units go first, because these units have to run all the time.
+  CallPriority StartPriority(const job::StartOrder& aOrder) const;
   void OnStartResponse(const job::StartOrder& aOrder, const platform::OrderResponse& aResponse);
   void SendStop(const job::StopOrder& aOrder);
   void RequestAdvice(const job::AdviceRequest& aQuestion);
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -287,11 +287,19 @@
           aOrder.m_minion,
           "token",
           aTarget.m_fencingToken);
-      m_context.m_minionClient.Start(aTarget, aOrder, until, kOrderTimeout, std::move(aDone));
+      m_context.m_minionClient.Start(
+        aTarget, aOrder, until, StartPriority(aOrder), kOrderTimeout, std::move(aDone));
     },
     [this, aOrder](platform::OrderResponse aResponse) { OnStartResponse(aOrder, aResponse); });
 }
 
+CallPriority PoolOwner::StartPriority(const job::StartOrder& aOrder) const
+{
+  const auto unit = job::UnitId::Parse(aOrder.m_unit);
+  const job::Job* job = unit ? m_scheduler.FindJob(unit->m_job) : nullptr;
+  return job && job->m_record.m_spec.IsLongRunning() ? CallPriority::High : CallPriority::Normal;
+}
+
 void PoolOwner::OnStartResponse(const job::StartOrder& aOrder,
                                 const platform::OrderResponse& aResponse)
 {
--- a/tests/node/NodeFixture.h
+++ b/tests/node/NodeFixture.h
@@ -12,7 +12,7 @@
 {
   NodeFixture(asio::io_context& aIo, TimerService& aTimers, platform::NodeSettings aSettings)
     : m_settings(std::move(aSettings))
-    , m_http(aIo)
+    , m_http(aIo, {}, m_settings.m_linkBytesPerSecond)
     , m_store(m_http, m_settings.m_store)
     , m_minionClient(m_http, {})
     , m_machineClient(m_http, m_settings.m_machineApi)
--- a/tests/platform/OddListTest.cpp
+++ b/tests/platform/OddListTest.cpp
@@ -237,12 +237,16 @@
     FixedServer server(200, R"({"clock_ms":)" + number + "}");
     MinionClient client(server.m_http, {});
     bool isDone = false;
-    client.Start(
-      { server.Address().Text(), "i", 1 }, {}, 1, kTimeout, [&](OrderResponse aResponse) {
-        isDone = true;
-        CHECK(aResponse.m_result == job::OrderResult::Started);
-        CHECK(aResponse.m_clockMs == 0);
-      });
+    client.Start({ server.Address().Text(), "i", 1 },
+                 {},
+                 1,
+                 CallPriority::Normal,
+                 kTimeout,
+                 [&](OrderResponse aResponse) {
+                   isDone = true;
+                   CHECK(aResponse.m_result == job::OrderResult::Started);
+                   CHECK(aResponse.m_clockMs == 0);
+                 });
     server.Await(isDone);
   }
   for (const std::string body :
