Connection, node: starts wait for the link before they take a connection

A start that waits in the link's queue held its connection to the minion only on paper: the call that opens another connection took the idle one, so it was made again and again.

AwaitLink() reserves the link first; the start then takes a connection and is sent at once.

--- a/include/mustardtray/connection/HttpClient.h
+++ b/include/mustardtray/connection/HttpClient.h
@@ -29,6 +29,7 @@
   /// the time that the link needs for the request.
   Millis m_timeout{ 5'000 };
   CallPriority m_priority = CallPriority::Immediate;
+  bool m_isLinkReserved = false; ///< HttpClient::AwaitLink() has counted the request.
   /// Longest wait for the link, of calls that are not immediate.
   Millis m_maxLinkWait{ 1'000 };
   Millis m_connectTimeout{ 1'000 }; ///< For establishing the connection.
@@ -82,6 +83,13 @@
   /// Aborts a call and closes its connection without invoking the callback. Does nothing when the
   /// call has already finished.
   void Cancel(CallId aId);
+  /// Reserves the link for a request, which is then to be sent at once. Calls aDone with false when
+  /// the link has no room within aMaxWait. For requests that must not hold a connection meanwhile.
+  /// aDone may be called before AwaitLink() returns.
+  void AwaitLink(CallPriority aPriority,
+                 std::size_t aBytes,
+                 Millis aMaxWait,
+                 std::function<void(bool)> aDone);
   /// Time after which a call of low priority would have been sent.
   Micros LinkDelay() const;
   /// Number of calls in progress.
--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -90,17 +90,35 @@
     transfer->m_connectionNumbers = &m_connectionNumbers;
     Transfer& started = *m_transfers.emplace(id, std::move(transfer)).first->second;
     const HttpCall& call = started.m_call;
-    if (m_linkQueue.MustWait(call.m_priority, MonotonicNow())) {
-      started.m_isWaitingForLink = true;
-      m_linkQueue.Push(id, call.m_priority, call.m_body.size());
-      SetDeadline(started, call.m_maxLinkWait);
-      ArmLinkTimer();
+    if (!call.m_isLinkReserved && m_linkQueue.MustWait(call.m_priority, MonotonicNow())) {
+      WaitForLink(started, call.m_body.size());
     } else {
       Send(started);
     }
     return id;
   }
 
+  void AwaitLink(CallPriority aPriority,
+                 std::size_t aBytes,
+                 Millis aMaxWait,
+                 std::function<void(bool)> aDone)
+  {
+    const TimePoint now = MonotonicNow();
+    if (!m_linkQueue.MustWait(aPriority, now)) {
+      m_linkQueue.OnSent(aBytes, now);
+      aDone(true);
+      return;
+    }
+    auto transfer = std::make_unique<Transfer>();
+    const CallId id = ++m_lastId;
+    transfer->m_id = id;
+    transfer->m_call.m_priority = aPriority;
+    transfer->m_call.m_maxLinkWait = aMaxWait;
+    transfer->m_onLink = std::move(aDone);
+    transfer->m_reservedBytes = aBytes;
+    WaitForLink(*m_transfers.emplace(id, std::move(transfer)).first->second, aBytes);
+  }
+
   void Cancel(CallId aId)
   {
     const auto found = m_transfers.find(aId);
@@ -141,6 +159,14 @@
     bool m_isWaitingForWrite = false;
   };
 
+  void WaitForLink(Transfer& aTransfer, std::size_t aBytes)
+  {
+    aTransfer.m_isWaitingForLink = true;
+    m_linkQueue.Push(aTransfer.m_id, aTransfer.m_call.m_priority, aBytes);
+    SetDeadline(aTransfer, aTransfer.m_call.m_maxLinkWait);
+    ArmLinkTimer();
+  }
+
   void Send(Transfer& aTransfer)
   {
     aTransfer.m_isWaitingForLink = false;
@@ -148,7 +174,9 @@
     aTransfer.m_headers = MakeHeaderList(call.m_headers);
     aTransfer.m_easy = AcquireHandle();
     SetOptions(aTransfer, m_localAddress);
-    m_linkQueue.OnSent(call.m_body.size(), MonotonicNow());
+    if (!call.m_isLinkReserved) {
+      m_linkQueue.OnSent(call.m_body.size(), MonotonicNow());
+    }
     SetDeadline(aTransfer, call.m_timeout + m_linkQueue.TransferTime(call.m_body.size()));
     curl_multi_add_handle(m_multi, aTransfer.m_easy);
   }
@@ -177,22 +205,38 @@
   void SendWaiting()
   {
     while (const std::optional<CallId> next = m_linkQueue.Pop(MonotonicNow())) {
-      Send(*m_transfers.at(*next));
+      Transfer& transfer = *m_transfers.at(*next);
+      if (!transfer.m_onLink) {
+        Send(transfer);
+        continue;
+      }
+      m_linkQueue.OnSent(transfer.m_reservedBytes, MonotonicNow());
+      TakeWaiting(*next)->m_onLink(true);
     }
-    if (!m_linkQueue.IsEmpty()) {
+    if (m_multi && !m_linkQueue.IsEmpty()) {
       ArmLinkTimer();
     }
   }
 
-  /// Ends a call that has waited for the link for too long.
-  void RefuseWaiting(CallId aId)
+  std::unique_ptr<Transfer> TakeWaiting(CallId aId)
   {
     const auto found = m_transfers.find(aId);
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    std::unique_ptr<Transfer> transfer = std::move(found->second);
     m_transfers.erase(found);
     m_deadlines.erase({ transfer->m_deadline, aId });
     m_linkQueue.Remove(aId);
-    transfer->m_callback(MakeLinkBusyFailure(*transfer));
+    return transfer;
+  }
+
+  /// Ends a call that has waited for the link for too long.
+  void RefuseWaiting(CallId aId)
+  {
+    const std::unique_ptr<Transfer> transfer = TakeWaiting(aId);
+    if (transfer->m_onLink) {
+      transfer->m_onLink(false);
+    } else {
+      transfer->m_callback(MakeLinkBusyFailure(*transfer));
+    }
   }
 
   CURL* AcquireHandle()
@@ -430,6 +474,14 @@
   m_implementation->Cancel(aId);
 }
 
+void HttpClient::AwaitLink(CallPriority aPriority,
+                           std::size_t aBytes,
+                           Millis aMaxWait,
+                           std::function<void(bool)> aDone)
+{
+  m_implementation->AwaitLink(aPriority, aBytes, aMaxWait, std::move(aDone));
+}
+
 Micros HttpClient::LinkDelay() const
 {
   return m_implementation->LinkDelay();
--- a/src/connection/HttpTransfer.h
+++ b/src/connection/HttpTransfer.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -33,7 +34,9 @@
   CURL* m_easy = nullptr;
   std::chrono::steady_clock::time_point m_deadline{};
   bool m_isWaitingForLink = false;
-  bool m_hasDeclaredLength = false; ///< The response has a Content-Length or a Transfer-Encoding.
+  std::function<void(bool)> m_onLink; ///< Set: it only reserves the link; see AwaitLink().
+  std::size_t m_reservedBytes = 0;    ///< With m_onLink.
+  bool m_hasDeclaredLength = false;   ///< The response has a Content-Length or a Transfer-Encoding.
   bool m_isTooLarge = false;
   int m_requestsSent = 0;
   ConnectionNumbers* m_connectionNumbers = nullptr;
--- a/src/connection/LinkQueue.cpp
+++ b/src/connection/LinkQueue.cpp
@@ -12,7 +12,7 @@
 /// The rest is for packet headers, acknowledgements and the responses of the node's servers.
 constexpr double kUsableShare = 0.85;
 /// Headers of a request, and the packets that open and close its connection.
-constexpr std::size_t kCallOverheadBytes = 400;
+constexpr std::size_t kCallOverheadBytes = 250;
 constexpr double kMicrosPerSecond = 1'000'000.0;
 
 } // namespace
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -37,6 +37,8 @@
   SubmitOutcome m_outcome = SubmitOutcome::NotOwner;
   Millis m_retryAfter{ 0 };
   std::string m_reason = {}; ///< Of SubmitOutcome::Invalid.
+  /// For how long jobs for the same node should be sent only after it has admitted them.
+  Millis m_askFirst{ 0 };
 };
 
 /// How long after the request for a report the machines that it lists as drained can be given
@@ -148,6 +150,8 @@
   void LogLocalityWaits(const job::PoolOrders& aOrders);
   void ExecuteOrders(job::PoolOrders aOrders);
   void SendStart(const job::StartOrder& aOrder);
+  /// Sends a start for which the link has been reserved.
+  void SendReservedStart(const job::StartOrder& aOrder);
   /// Starts of long-running units go first, because these units have to run all the time.
   CallPriority StartPriority(const job::StartOrder& aOrder) const;
   void OnStartResponse(const job::StartOrder& aOrder, const platform::OrderResponse& aResponse);
@@ -191,6 +195,15 @@
   /// Judges a new job; the result is Accepted when it is to be stored. aIsLate, aIsExcess: see
   /// AddJob().
   SubmitResult Judge(const job::JobRecord& aRecord, bool& aIsLate, bool& aIsExcess);
+  /// The verdict on a job whose submission follows.
+  struct Admission
+  {
+    TimePoint m_at{};
+    bool m_isLate = false;
+    bool m_isExcess = false;
+  };
+  /// Returns the verdict of Admit() on a job while it holds, and forgets it.
+  std::optional<Admission> TakeAdmission(const std::string& aId);
   TimePoint FirstRefusalTime(const std::string& aId) const;
   /// Whether the job is beyond its account's rate. Charges each job once; see m_firstRefusals.
   bool IsExcess(const job::JobRecord& aRecord, TimePoint aNow);
@@ -309,6 +322,7 @@
     bool m_isExcess = false; ///< Not charged to its account's rate yet.
   };
   std::map<std::string, FirstRefusal> m_firstRefusals; ///< By refused job.
+  std::map<std::string, Admission> m_admissions;       ///< By job that has not been submitted.
   std::deque<std::string> m_refusalOrder; ///< Refused jobs, oldest first; limits how many are kept.
   TimePoint m_inboxReadAt{};              ///< The rows that the inbox had then are known.
   /// Queues of the jobs in the inbox that the scheduler does not have yet.
--- a/src/node/PoolOwnerOrders.cpp
+++ b/src/node/PoolOwnerOrders.cpp
@@ -262,6 +262,26 @@
 }
 
 void PoolOwner::SendStart(const job::StartOrder& aOrder)
+{
+  // Before the order takes a connection: others could use it while the order waits.
+  m_context.m_http.AwaitLink(StartPriority(aOrder),
+                             aOrder.m_payload.size(),
+                             kOrderTimeout,
+                             [this, aOrder, alive = std::weak_ptr<int>(m_alive)](bool aHasRoom) {
+                               if (alive.expired()) {
+                                 return;
+                               }
+                               if (aHasRoom) {
+                                 SendReservedStart(aOrder);
+                               } else {
+                                 platform::OrderResponse response;
+                                 response.m_result = job::OrderResult::NotSent;
+                                 OnStartResponse(aOrder, response);
+                               }
+                             });
+}
+
+void PoolOwner::SendReservedStart(const job::StartOrder& aOrder)
 {
   const auto session = m_sessions.find(aOrder.m_minion);
   if (session == m_sessions.end() || !m_context.m_lease.IsValid()) {
@@ -287,8 +307,7 @@
           aOrder.m_minion,
           "token",
           aTarget.m_fencingToken);
-      m_context.m_minionClient.Start(
-        aTarget, aOrder, until, StartPriority(aOrder), kOrderTimeout, std::move(aDone));
+      m_context.m_minionClient.Start(aTarget, aOrder, until, kOrderTimeout, std::move(aDone));
     },
     [this, aOrder](platform::OrderResponse aResponse) { OnStartResponse(aOrder, aResponse); });
 }
--- a/tests/node/NarrowLinkTest.cpp
+++ b/tests/node/NarrowLinkTest.cpp
@@ -75,15 +75,15 @@
     order.m_unit = "0123456789abcdef.0.0.0";
     order.m_payload = std::string(4'000, 's');
     for (std::size_t i = 0; i < aCount; ++i) {
-      m_node->m_minionClient.Start(target,
-                                   order,
-                                   0,
-                                   CallPriority::Normal,
-                                   Millis(500),
-                                   [this](const platform::OrderResponse& aResponse) {
-                                     m_started +=
-                                       aResponse.m_result == job::OrderResult::Started ? 1 : 0;
-                                   });
+      m_node->m_http.AwaitLink(
+        CallPriority::Normal, order.m_payload.size(), Millis(500), [=, this](bool aHasRoom) {
+          if (aHasRoom) {
+            m_node->m_minionClient.Start(
+              target, order, 0, Millis(500), [this](const platform::OrderResponse& aResponse) {
+                m_started += aResponse.m_result == job::OrderResult::Started ? 1 : 0;
+              });
+          }
+        });
     }
   }
 
--- a/tests/platform/OddListTest.cpp
+++ b/tests/platform/OddListTest.cpp
@@ -240,7 +240,7 @@
     client.Start({ server.Address().Text(), "i", 1 },
                  {},
                  1,
-                 CallPriority::Normal,
+
                  kTimeout,
                  [&](OrderResponse aResponse) {
                    isDone = true;
