Node: ask owners of loaded links before jobs are sent to them

Jobs travelled whole to the owner of their shard, to be refused there: in the second in which a node's link of 2 Mbit/s was full, 82 jobs of 2.8 kB arrived, 91% of what it received, and nearly none was accepted.

A node measures what it receives. The verdict is kept for the submission that follows, so that a job is judged and charged once. Where the speed of the link is not known, or where it is not loaded, jobs are sent as before.

--- a/src/node/JobGateway.cpp
+++ b/src/node/JobGateway.cpp
@@ -254,13 +254,49 @@
     aDone({ SubmitOutcome::NotOwner, Millis{ 0 } });
     return;
   }
-  HttpCall call =
-    MakePeerCall(address, kPeerSubmitPath, EncodeSubmitRequest(aPool, aRecord), kOwnerTimeout);
+  const auto askFirst = m_askFirstUntil.find(address);
+  const bool isAskedFirst = askFirst != m_askFirstUntil.end() &&
+                            MonotonicNow() < askFirst->second && aRecord.m_pool.empty();
+  if (!isAskedFirst) {
+    CallOwner(address, kPeerSubmitPath, aPool, aRecord, std::move(aDone));
+    return;
+  }
+  job::JobRecord outline = aRecord;
+  outline.m_spec.m_payload.clear();
+  CallOwner(
+    address,
+    kPeerAdmitPath,
+    aPool,
+    outline,
+    [this, address, aPool, aRecord, done = std::move(aDone), alive = std::weak_ptr<int>(m_alive)](
+      SubmitResult aResult) {
+      if (aResult.m_outcome == SubmitOutcome::Accepted && !alive.expired()) {
+        CallOwner(address, kPeerSubmitPath, aPool, aRecord, done);
+      } else if (aResult.m_outcome == SubmitOutcome::Unknown) {
+        done({ SubmitOutcome::Refused, kBusyRetryAfter }); // Nothing has been handed in.
+      } else {
+        done(std::move(aResult));
+      }
+    });
+}
+
+void JobGateway::CallOwner(const std::string& aAddress,
+                           const char* aPath,
+                           const std::string& aPool,
+                           const job::JobRecord& aRecord,
+                           std::function<void(SubmitResult)> aDone)
+{
+  HttpCall call = MakePeerCall(aAddress, aPath, EncodeSubmitRequest(aPool, aRecord), kOwnerTimeout);
   call.m_connectTimeout = kOwnerConnectTimeout;
   call.m_priority = CallPriority::Low;
   call.m_maxLinkWait = kMaxSubmitWait;
   m_context.m_http.Start(
-    std::move(call), [id = aRecord.m_id, done = std::move(aDone)](HttpCallResult aResult) {
+    std::move(call),
+    [this,
+     id = aRecord.m_id,
+     aAddress,
+     done = std::move(aDone),
+     alive = std::weak_ptr<int>(m_alive)](HttpCallResult aResult) {
       if (!aResult && aResult.error().m_isLinkBusy) {
         Log(LogCategory::Placement, LogLevel::Info, "job-refused", "job", id, "reason", "link");
         done({ SubmitOutcome::Refused, kBusyRetryAfter });
@@ -279,7 +315,10 @@
         return;
       }
       auto result = DecodeSubmitResult(aResult.value().m_body);
-      done(result ? result.value() : SubmitResult{ SubmitOutcome::Unknown, Millis{ 0 } });
+      if (result && result.value().m_askFirst.count() > 0 && !alive.expired()) {
+        m_askFirstUntil[aAddress] = MonotonicNow() + result.value().m_askFirst;
+      }
+      done(result ? std::move(result.value()) : SubmitResult{ SubmitOutcome::Unknown });
     });
 }
 
--- a/src/node/JobGateway.h
+++ b/src/node/JobGateway.h
@@ -70,6 +70,12 @@
   void SubmitToRemoteOwner(const std::string& aPool,
                            const job::JobRecord& aRecord,
                            std::function<void(SubmitResult)> aDone);
+  /// Sends a job to the owner of its pool, or asks whether it would be accepted.
+  void CallOwner(const std::string& aAddress,
+                 const char* aPath,
+                 const std::string& aPool,
+                 const job::JobRecord& aRecord,
+                 std::function<void(SubmitResult)> aDone);
   /// A write of a job to the inbox, which is repeated while it is not known whether it took place.
   struct InboxWrite
   {
@@ -142,6 +148,8 @@
   QueueDirectory m_queueDirectory;
   bool m_isStopping = false;
   bool m_isRefusing = false;
+  /// By peer address: owners whose links are loaded are asked before they are sent a job.
+  std::map<std::string, TimePoint> m_askFirstUntil;
   /// Requests that came while the node was stopping, and whether they only read.
   std::vector<std::pair<HttpResponder, bool>> m_lateRequests;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/src/node/NodeContext.cpp
+++ b/src/node/NodeContext.cpp
@@ -1,6 +1,9 @@
 #include "node/NodeContext.h"
 
 #include <ctime>
+#include <random>
+
+#include <fmt/format.h>
 
 namespace mustardtray::node {
 
@@ -13,4 +16,10 @@
   return TimePoint(Micros(now.tv_sec * kMicrosPerSecond + now.tv_nsec / kNanosPerMicro));
 }
 
+std::string MakeIncarnation()
+{
+  std::random_device device;
+  return fmt::format("{:08x}{:08x}", device(), device());
+}
+
 } // namespace mustardtray::node
--- a/src/node/NodeContext.h
+++ b/src/node/NodeContext.h
@@ -27,6 +27,9 @@
 /// clock.
 TimePoint LeaseClockNow();
 
+/// Returns a name for this run of the node that no other run has.
+std::string MakeIncarnation();
+
 /// Time until which this node may act for the pools that it owns.
 class NodeLease
 {
--- a/src/node/NodeDaemon.cpp
+++ b/src/node/NodeDaemon.cpp
@@ -2,7 +2,6 @@
 
 #include <csignal>
 #include <malloc.h>
-#include <random>
 
 #include <asio/signal_set.hpp>
 #include <fmt/format.h>
@@ -62,12 +61,6 @@
 #endif
 }
 
-std::string MakeIncarnation()
-{
-  std::random_device device;
-  return fmt::format("{:08x}{:08x}", device(), device());
-}
-
 class NodeDaemon
 {
 public:
@@ -99,6 +92,7 @@
           }
         })
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    , m_linkLoad(m_context)
     , m_monitor(m_context, [this] { return m_owners.size(); })
   {
   }
@@ -109,7 +103,7 @@
       return kExitFailure;
     }
     const std::string peerAddress =
-      fmt::format("{}:{}", m_settings.m_ip, m_settings.m_firstPeerPort);
+      platform::SocketAddress{ m_settings.m_ip, m_settings.m_firstPeerPort }.Text();
     m_membership = std::make_unique<Membership>(
       m_context,
       peerAddress,
@@ -129,7 +123,7 @@
     m_gateway =
       std::make_unique<JobGateway>(m_context, *m_membership, *m_configurationRelay, findOwner);
     m_peerHandler = std::make_unique<PeerHandler>(
-      findOwner, *m_configurationRelay, [this] { m_membership->RequestDecision(); });
+      findOwner, *m_configurationRelay, m_linkLoad, [this] { m_membership->RequestDecision(); });
     m_shardDirectory = std::make_unique<ShardDirectory>(m_context, [this] {
       m_membership->RequestDecision();
       // Minions may have registered before their pool's number of shards was known.
@@ -463,6 +457,7 @@
   NodeContext m_context;
   MinionDirectory m_minionDirectory;
   asio::signal_set m_signals;
+  LinkLoad m_linkLoad;
   NodeMonitor m_monitor;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<ConfigurationRelay> m_configurationRelay;
--- a/src/node/PeerHandler.cpp
+++ b/src/node/PeerHandler.cpp
@@ -6,9 +6,11 @@
 
 PeerHandler::PeerHandler(LocalOwner aLocalOwner,
                          const ConfigurationRelay& aRelay,
+                         const LinkLoad& aLinkLoad,
                          std::function<void()> aOnReleased)
   : m_localOwner(std::move(aLocalOwner))
   , m_relay(aRelay)
+  , m_linkLoad(aLinkLoad)
   , m_onReleased(std::move(aOnReleased))
 {
 }
@@ -48,8 +50,8 @@
     return;
   }
   owner->Submit(std::move(message.value().m_record),
-                [responder = std::move(aResponder)](SubmitResult aResult) {
-                  responder.Send(JsonResponse(200, EncodeSubmitResult(aResult)));
+                [this, responder = std::move(aResponder)](SubmitResult aResult) {
+                  SendSubmitResult(std::move(aResult), responder);
                 });
 }
 
@@ -57,8 +59,13 @@
 {
   const auto message = DecodeSubmitRequest(aRequest.m_body);
   PoolOwner* owner = message ? m_localOwner(message.value().m_pool) : nullptr;
-  aResponder.Send(JsonResponse(
-    200, EncodeSubmitResult(owner ? owner->Admit(message.value().m_record) : SubmitResult{})));
+  SendSubmitResult(owner ? owner->Admit(message.value().m_record) : SubmitResult{}, aResponder);
+}
+
+void PeerHandler::SendSubmitResult(SubmitResult aResult, const HttpResponder& aResponder) const
+{
+  aResult.m_askFirst = m_linkLoad.AskFirstTime();
+  aResponder.Send(JsonResponse(200, EncodeSubmitResult(aResult)));
 }
 
 void PeerHandler::HandleAdoption(const HttpRequest& aRequest, HttpResponder aResponder)
--- a/src/node/PeerHandler.h
+++ b/src/node/PeerHandler.h
@@ -7,6 +7,7 @@
 
 #include "mustardtray/connection/HttpServer.h"
 #include "node/JobGateway.h"
+#include "node/LinkLoad.h"
 
 namespace mustardtray::node {
 
@@ -16,6 +17,7 @@
   /// aOnReleased: called when another node has released a pool, possibly to this node.
   PeerHandler(LocalOwner aLocalOwner,
               const ConfigurationRelay& aRelay,
+              const LinkLoad& aLinkLoad,
               std::function<void()> aOnReleased);
 
   void Handle(const HttpRequest& aRequest, HttpResponder aResponder);
@@ -23,6 +25,7 @@
 private:
   void HandleSubmit(const HttpRequest& aRequest, HttpResponder aResponder);
   void HandleAdmission(const HttpRequest& aRequest, const HttpResponder& aResponder);
+  void SendSubmitResult(SubmitResult aResult, const HttpResponder& aResponder) const;
   void HandleAdoption(const HttpRequest& aRequest, HttpResponder aResponder);
   void HandleRoomRequest(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleFleetSync(const HttpRequest& aRequest, const HttpResponder& aResponder);
@@ -30,6 +33,7 @@
 
   LocalOwner m_localOwner;
   const ConfigurationRelay& m_relay;
+  const LinkLoad& m_linkLoad;
   std::function<void()> m_onReleased;
 };
 
--- a/src/node/PeerMessages.cpp
+++ b/src/node/PeerMessages.cpp
@@ -165,6 +165,9 @@
   if (!aResult.m_reason.empty()) {
     out["reason"] = aResult.m_reason;
   }
+  if (aResult.m_askFirst.count() > 0) {
+    out["ask-first-ms"] = aResult.m_askFirst.count();
+  }
   return out.dump();
 }
 
@@ -176,6 +179,7 @@
                          .value_or(SubmitOutcome::Unknown);
     result.m_retryAfter = Millis(aIn.at("retry-ms").get<Millis::rep>());
     result.m_reason = aIn.value("reason", std::string{});
+    result.m_askFirst = Millis(aIn.value("ask-first-ms", Millis::rep{ 0 }));
     return result;
   });
 }
--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -80,18 +80,20 @@
     SubmitForeign(std::move(aRecord), std::move(aDone));
     return;
   }
-  bool isLate = false;
-  bool isExcess = false;
   const Millis waited = std::chrono::duration_cast<Millis>(LeaseClockNow() - FirstRefusalTime(id));
-  SubmitResult result = Judge(aRecord, isLate, isExcess);
-  if (result.m_outcome != SubmitOutcome::Accepted) {
-    aDone(std::move(result));
-    return;
+  std::optional<Admission> admission = TakeAdmission(id);
+  if (!admission) {
+    admission = Admission{};
+    SubmitResult result = Judge(aRecord, admission->m_isLate, admission->m_isExcess);
+    if (result.m_outcome != SubmitOutcome::Accepted) {
+      aDone(std::move(result));
+      return;
+    }
   }
   aRecord.m_acceptedAt -= waited;
   aRecord.m_epoch = m_claim.m_epoch;
   m_pendingSubmissions[id] = { aRecord.m_account, { std::move(aDone) } };
-  StoreSubmission(std::move(aRecord), isLate, isExcess);
+  StoreSubmission(std::move(aRecord), admission->m_isLate, admission->m_isExcess);
 }
 
 void PoolOwner::StoreSubmission(job::JobRecord aRecord, bool aIsLate, bool aIsExcess)
@@ -123,73 +125,6 @@
   }
 }
 
-SubmitResult PoolOwner::Admit(const job::JobRecord& aRecord)
-{
-  if (!IsAuthoritative() || m_isDraining) {
-    return { SubmitOutcome::NotOwner, Millis{ 0 } };
-  }
-  if (KnowsJob(aRecord.m_id)) {
-    return { SubmitOutcome::Accepted, Millis{ 0 } }; // A repeated request; its home decides.
-  }
-  bool isLate = false;
-  bool isExcess = false;
-  return Judge(aRecord, isLate, isExcess);
-}
-
-SubmitResult PoolOwner::Judge(const job::JobRecord& aRecord, bool& aIsLate, bool& aIsExcess)
-{
-  const std::string& id = aRecord.m_id;
-  UpdateAccounts();
-  if (std::string reason = m_scheduler.DescribeLimitError(aRecord); !reason.empty()) {
-    Log(LogCategory::Placement,
-        LogLevel::Info,
-        "job-exceeds-limit",
-        "job",
-        id,
-        "account",
-        aRecord.m_account,
-        "reason",
-        reason);
-    return { SubmitOutcome::Invalid, Millis{ 0 }, std::move(reason) };
-  }
-  const TimePoint now = LeaseClockNow();
-  const Millis waited = std::chrono::duration_cast<Millis>(now - FirstRefusalTime(id));
-  if (!m_firstRefusals.contains(id)) {
-    m_scheduler.OnFirstAttempt(aRecord, now);
-  }
-  aIsExcess = IsExcess(aRecord, now);
-  const auto retryAfter = aIsExcess ? m_scheduler.RefuseExcess(aRecord, now) : std::nullopt;
-  if (retryAfter) {
-    return RefuseSubmission(aRecord, aIsExcess, *retryAfter, now);
-  }
-  const WorkMeter::Scope scope(m_context.m_work, WorkPart::Submission);
-  const job::AdmissionDecision verdict = m_scheduler.EvaluateAdmission(aRecord, waited, now);
-  Log(LogCategory::Placement,
-      LogLevel::Info,
-      verdict.m_isAccepted ? "job-admitted" : "job-refused",
-      "job",
-      id,
-      "queue",
-      aRecord.m_queuePolicy.m_queue,
-      "expected-wait-ms",
-      verdict.m_expectedWait.count(),
-      "waited-ms",
-      waited.count(),
-      "late",
-      verdict.m_isLate,
-      "units",
-      aRecord.m_spec.m_steps[0].m_count,
-      "max-per-minion",
-      aRecord.m_spec.m_steps[0].m_maxPerMinion,
-      "config",
-      m_context.m_deployment.m_version);
-  if (!verdict.m_isAccepted) {
-    return RefuseSubmission(aRecord, aIsExcess, verdict.m_retryAfter, now);
-  }
-  aIsLate = verdict.m_isLate;
-  return { SubmitOutcome::Accepted, Millis{ 0 } };
-}
-
 bool PoolOwner::IsForbidden(const std::string& aId, const job::Caller& aCaller) const
 {
   if (const auto pending = m_pendingSubmissions.find(aId); pending != m_pendingSubmissions.end()) {
--- a/tests/node/ShardFixture.h
+++ b/tests/node/ShardFixture.h
@@ -47,7 +47,8 @@
       return owner == m_owners.end() ? nullptr : owner->second.get();
     })
     , m_gateway(m_node.m_context, m_membership, m_relay, m_findOwner)
-    , m_peerHandler(m_findOwner, m_relay, [] {})
+    , m_linkLoad(m_node.m_context)
+    , m_peerHandler(m_findOwner, m_relay, m_linkLoad, [] {})
     , m_minionServer(m_io, "127.0.0.1", 0, [](const std::shared_ptr<StandinExchange>& aExchange) {
       aExchange->SendResponse(
         JsonResponse(200, R"({"clock_ms":5000,"born":1,"running":[],"ended":[]})"));
@@ -208,6 +209,7 @@
   std::map<std::string, job::OwnerRow> m_claims;
   std::map<std::string, std::unique_ptr<PoolOwner>> m_owners;
   JobGateway m_gateway;
+  LinkLoad m_linkLoad;
   PeerHandler m_peerHandler;
   StandinServer m_minionServer;
   std::map<std::string, int> m_shardCalls; ///< By path.
