Soak: nodes with narrow links

--narrow-links puts each node's calls to the store on a link of 2 Mbit/s, which its settings name. tools/soak runs new seeds of planned work in series with it.

--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -93,6 +93,7 @@
     "clock-steps", "the time of day of machines steps and steps back")(
     "move-queues",
     "configurations send queues to other pools, and requests arrive again after their responses")(
+    "narrow-links", "the nodes' calls to the store share links of 2 Mbit/s")(
     "scarce-kind", "some jobs require a kind of machine that is scarce")(
     "deadly", "submit jobs whose units crash each minion that starts them")("h,help",
                                                                             "print this help");
@@ -122,6 +123,7 @@
     soakOptions.m_keepsOwners = parsed.count("keep-owners") > 0;
     soakOptions.m_hasClockSteps = parsed.count("clock-steps") > 0;
     soakOptions.m_movesQueues = parsed.count("move-queues") > 0;
+    soakOptions.m_hasNarrowLinks = parsed.count("narrow-links") > 0;
     soakOptions.m_hasScarceKind = parsed.count("scarce-kind") > 0;
     soakOptions.m_hasDeadlyUnits = parsed.count("deadly") > 0;
     if (parsed.count("seeds") > 0) {
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -131,6 +131,7 @@
     fmt::format("127.{}.{}.{}", 64 + getpid() % 128, getpid() / 128 % 250, aNumber);
   node->m_callerAddress = fmt::format("{}:{}", ip, kCallerPort);
   node->m_storeProxy = std::make_unique<FaultProxy>(m_context, m_timers, m_store.Port());
+  node->m_storeProxy->SetLink(m_options.m_hasNarrowLinks ? &node->m_link : nullptr);
   LocalProcess& process = node->m_process;
   process.m_name = fmt::format("node-{}", aNumber);
   process.m_logFile = fmt::format("{}/{}.log", m_options.m_folder, process.m_name);
@@ -164,6 +165,7 @@
   file << "node_name=" << aNode.m_process.m_name << "\nip=" << aIp << "\nzone=z1\nzones.z1=r1\n"
        << "listen.front=" << aNode.m_callerAddress << "\nlisten.ready=" << aIp << ":" << kReadyPort
        << "\ninternal_ports=" << kPeerPort << "," << kPeerPort + 15
+       << "\nlimits.link_mbps=" << (m_options.m_hasNarrowLinks ? kNarrowLinkMbps : 0.0)
        << "\nlimits.max_fds=1000\nheartbeat_ms=1000\nbounds.grace_s=3"
        << "\nbounds.hold_max_ms=" << kMaxRunLease.count()
        << "\nbounds.lease_ms=" << kMachineOrderLease.count()
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -23,6 +23,8 @@
 
 inline constexpr Micros kStartupTime{ 3'000'000 };
 inline constexpr std::size_t kPoolCount = 2;
+inline constexpr double kNarrowLinkMbps = 2.0;
+inline constexpr double kBytesPerMegabit = 125'000.0;
 /// Shards of the last pool; the others have one.
 inline constexpr std::size_t kShardCount = 2;
 /// A unit of a long-running job is missing when it has not run for this time.
@@ -48,6 +50,7 @@
   bool m_hasClockSteps = false;    ///< The time of day of machines steps and steps back.
   bool m_movesQueues = false;      ///< Configurations send queues to other pools; requests repeat.
   bool m_hasScarceKind = false;    ///< Some jobs require a kind of machine that is scarce.
+  bool m_hasNarrowLinks = false;   ///< Each node's calls to the store share a narrow link.
   bool m_hasDeadlyUnits = false; ///< Some jobs have units that crash each minion that starts them.
 };
 
@@ -74,6 +77,7 @@
   struct Node
   {
     LocalProcess m_process;
+    PacedLink m_link{ kNarrowLinkMbps * kBytesPerMegabit };
     std::unique_ptr<FaultProxy> m_storeProxy;
     std::string m_callerAddress;
     std::list<KeptConnection> m_keptConnections;
