Connection: limit the kinds of traffic that are counted

The peers' listener counts by path, so a caller could make a node keep a name for each request until the next line of the log. From 100 kinds on, further ones are counted together.

--- a/src/connection/HttpClient.cpp
+++ b/src/connection/HttpClient.cpp
@@ -204,7 +204,11 @@
 
   void SendWaiting()
   {
-    while (const std::optional<CallId> next = m_linkQueue.Pop(MonotonicNow())) {
+    while (m_multi) {
+      const std::optional<CallId> next = m_linkQueue.Pop(MonotonicNow());
+      if (!next) {
+        break;
+      }
       Transfer& transfer = *m_transfers.at(*next);
       if (!transfer.m_onLink) {
         Send(transfer);
--- a/src/connection/TrafficMeter.cpp
+++ b/src/connection/TrafficMeter.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// Kinds between two summaries; further ones are counted together, since a kind may be the path of
+/// a request.
+constexpr std::size_t kMaxKinds = 100;
+constexpr const char* kOtherKind = "other";
+
 void AddTo(TrafficCount& aCount, std::uint64_t aSent, std::uint64_t aReceived, bool aIsAbandoned)
 {
   ++aCount.m_calls;
@@ -28,7 +33,8 @@
                        std::uint64_t aReceived,
                        bool aIsAbandoned)
 {
-  AddTo(m_counts[aKind], aSent, aReceived, aIsAbandoned);
+  const bool isCounted = m_counts.size() < kMaxKinds || m_counts.contains(aKind);
+  AddTo(m_counts[isCounted ? aKind : kOtherKind], aSent, aReceived, aIsAbandoned);
   AddTo(m_total, aSent, aReceived, aIsAbandoned);
 }
 
--- a/tests/connection/TrafficMeterTest.cpp
+++ b/tests/connection/TrafficMeterTest.cpp
@@ -1,5 +1,7 @@
 #include "mustardtray/connection/TrafficMeter.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
@@ -22,6 +24,19 @@
   CHECK(meter.Total().m_wasted == 530);
 }
 
+/// Guards against memory that grows with the paths that callers invent.
+TEST_CASE("the number of kinds of traffic is limited")
+{
+  TrafficMeter meter;
+  for (int i = 0; i < 1'000; ++i) {
+    meter.Add(fmt::format("path-{}", i), 1, 1);
+  }
+  meter.Add("path-0", 5, 5);
+  const std::string summary = meter.TakeSummary(1'000);
+  CHECK(std::count(summary.begin(), summary.end(), ',') == 100);
+  CHECK(summary.starts_with("other:900/0/900/900/0,path-0:2/0/6/6/0,"));
+}
+
 TEST_CASE("bytes of calls that are abandoned count as wasted")
 {
   asio::io_context io;
