Node: ignore measurements of the link that take no time

Two measurements at the same moment would divide by zero, and the share would stay undefined, so that other nodes would ask first for good.

--- a/src/node/LinkLoad.cpp
+++ b/src/node/LinkLoad.cpp
@@ -35,6 +35,9 @@
 {
   constexpr double kMicrosPerSecond = 1'000'000.0;
   const TimePoint now = MonotonicNow();
+  if (now <= m_measuredAt) {
+    return;
+  }
   const std::uint64_t received = m_context.m_http.Traffic().Total().m_received;
   const double seconds = static_cast<double>((now - m_measuredAt).count()) / kMicrosPerSecond;
   const double share = static_cast<double>(received - m_received) /
