Node: an admission holds only for the job and the configuration that were judged

Another request with this id, or one after a change of the limits, was accepted without being judged. The verdict now names the configuration's version and what was judged.

--- a/src/node/PoolOwner.cpp
+++ b/src/node/PoolOwner.cpp
@@ -81,7 +81,7 @@
     return;
   }
   const Millis waited = std::chrono::duration_cast<Millis>(LeaseClockNow() - FirstRefusalTime(id));
-  std::optional<Admission> admission = TakeAdmission(id);
+  std::optional<Admission> admission = TakeAdmission(aRecord);
   if (!admission) {
     admission = Admission{};
     SubmitResult result = Judge(aRecord, admission->m_isLate, admission->m_isExcess);
--- a/src/node/PoolOwner.h
+++ b/src/node/PoolOwner.h
@@ -201,9 +201,11 @@
     TimePoint m_at{};
     bool m_isLate = false;
     bool m_isExcess = false;
+    std::uint64_t m_configuration = 0; ///< Version under which the job was judged.
+    std::string m_outline;             ///< What was judged, without the payload.
   };
   /// Returns the verdict of Admit() on a job while it holds, and forgets it.
-  std::optional<Admission> TakeAdmission(const std::string& aId);
+  std::optional<Admission> TakeAdmission(const job::JobRecord& aRecord);
   TimePoint FirstRefusalTime(const std::string& aId) const;
   /// Whether the job is beyond its account's rate. Charges each job once; see m_firstRefusals.
   bool IsExcess(const job::JobRecord& aRecord, TimePoint aNow);
--- a/src/node/PoolOwnerAdmission.cpp
+++ b/src/node/PoolOwnerAdmission.cpp
@@ -15,6 +15,14 @@
 /// Callers that return with the first free byte would find the link full again.
 constexpr Millis kMinRetryAfter{ 500 };
 
+std::string MakeOutline(job::JobRecord aRecord)
+{
+  aRecord.m_spec.m_payload.clear();
+  aRecord.m_acceptedAt = {};
+  aRecord.m_epoch = 0;
+  return job::EncodeJobRecord(aRecord);
+}
+
 } // namespace
 
 SubmitResult PoolOwner::Admit(const job::JobRecord& aRecord)
@@ -25,27 +33,33 @@
   if (KnowsJob(aRecord.m_id)) {
     return { SubmitOutcome::Accepted, Millis{ 0 } }; // A repeated request; its home decides.
   }
-  Admission admission{ LeaseClockNow() };
+  Admission admission;
+  admission.m_at = LeaseClockNow();
   SubmitResult result = Judge(aRecord, admission.m_isLate, admission.m_isExcess);
   if (result.m_outcome == SubmitOutcome::Accepted) {
     std::erase_if(m_admissions, [&](const auto& aEntry) {
       return admission.m_at - aEntry.second.m_at > kAdmissionValidity;
     });
-    m_admissions[aRecord.m_id] = admission;
+    admission.m_configuration = m_context.m_deployment.m_version;
+    admission.m_outline = MakeOutline(aRecord);
+    m_admissions[aRecord.m_id] = std::move(admission);
   }
   return result;
 }
 
-std::optional<PoolOwner::Admission> PoolOwner::TakeAdmission(const std::string& aId)
+std::optional<PoolOwner::Admission> PoolOwner::TakeAdmission(const job::JobRecord& aRecord)
 {
-  const auto found = m_admissions.find(aId);
+  const auto found = m_admissions.find(aRecord.m_id);
   if (found == m_admissions.end()) {
     return std::nullopt;
   }
-  const Admission admission = found->second;
+  Admission admission = std::move(found->second);
   m_admissions.erase(found);
-  return LeaseClockNow() - admission.m_at > kAdmissionValidity ? std::nullopt
-                                                               : std::optional(admission);
+  // Another request may have the same id, and another configuration other limits.
+  const bool holds = LeaseClockNow() - admission.m_at <= kAdmissionValidity &&
+                     admission.m_configuration == m_context.m_deployment.m_version &&
+                     admission.m_outline == MakeOutline(aRecord);
+  return holds ? std::optional(std::move(admission)) : std::nullopt;
 }
 
 SubmitResult PoolOwner::Judge(const job::JobRecord& aRecord, bool& aIsLate, bool& aIsExcess)
--- a/tests/node/AskFirstTest.cpp
+++ b/tests/node/AskFirstTest.cpp
@@ -157,3 +157,32 @@
   const std::string shard = fixture.m_node.m_context.m_shards.Of("pool", OwnerFixture::kJob);
   CHECK(fixture.m_store.Value(kInboxTable, shard, OwnerFixture::kJob).empty());
 }
+
+/// Guards against limits that are bypassed: a verdict on one request decided another one.
+TEST_CASE("an admission holds only for the job and the configuration that were judged")
+{
+  ShardFixture fixture;
+  fixture.SendQueueTo("pool", "queue", 1);
+  PoolOwner& owner = fixture.Own("pool#0");
+  fixture.AddMinion("pool#0", "m1", "a");
+  job::JobRecord record = job::MakeJob("0123456789abcdef", 1, 100);
+  record.m_account = "a";
+  REQUIRE(owner.Admit(record).m_outcome == SubmitOutcome::Accepted);
+  bool isLimited = false;
+  SUBCASE("the same job") {}
+  SUBCASE("a limit has come into force")
+  {
+    isLimited = true;
+  }
+  if (isLimited) {
+    job::AccountSpec account;
+    account.m_name = "a";
+    account.m_limit.m_cpu = 50;
+    fixture.m_node.m_context.m_deployment.m_accounts = { account };
+    fixture.m_node.m_context.m_deployment.m_version = 2;
+  }
+  std::optional<SubmitOutcome> outcome;
+  owner.Submit(record, [&](SubmitResult aResult) { outcome = aResult.m_outcome; });
+  REQUIRE(fixture.RunUntil([&] { return outcome.has_value(); }));
+  CHECK(*outcome == (isLimited ? SubmitOutcome::Invalid : SubmitOutcome::Accepted));
+}
